--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -279,7 +279,10 @@
         if path == "/ready":
             # In an outage for all, final answers, reports and honest refusals still
             # work; a node cut off alone sends users to those that can do more.
-            ready = self.replica.seen >= 0 and bool(self.types()) and not self.cut_off()
+            ready = (
+                self.replica.seen >= 0 and bool(self.types())
+                and not self.cut_off() and not self.isolated()
+            )
             return Response(200 if ready else 503, b"{}")
         if path.startswith("/api/jobs") and self.cut_off():
             answer = await self.members.forward(request)
@@ -293,6 +296,15 @@
             self.store.failing_since is not None and self.members.peer_with_store() is not None
         )
 
+    def isolated(self) -> bool:
+        """Whether neither the store nor any peer has answered this node of late."""
+        since = self.store.failing_since
+        return (
+            since is not None
+            and trio.current_time() - since > self.policy.session_ttl
+            and self.members.alone()
+        )
+
     async def local(self, request: Request) -> Response:
         """A user's request, answered by this node."""
         path = request.path
@@ -333,7 +345,7 @@
         job = self.book.jobs.get(id)
         if job is not None and not job.open:
             return self.view(job)
-        if not await self.certifier.certify():
+        if self.isolated() or not await self.certifier.certify():
             return _busy("the state can't be confirmed now", 1)
         job = self.book.jobs.get(id)
         return self.view(job) if job is not None else _error(404, "ref", "unknown job")
@@ -355,6 +367,8 @@
             return _error(error.status, *str(error).split(": ", 1))
         if not self.types():
             return _busy("machine types are not known yet", 1)
+        if self.isolated():
+            return _busy("the state service doesn't answer", 1)
         try:
             check_runnable(spec, self.settings, self.types())
         except Invalid as error:
@@ -410,6 +424,8 @@
         for _ in range(4):
             job = self.book.jobs.get(id)
             if job is None or job.open:
+                if self.isolated():
+                    break
                 if job is None:
                     if not await self.certifier.certify():
                         return _busy("the state can't be confirmed now", 1)
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -286,8 +286,9 @@
         for name, note in notes.items():
             if name in self.gone:
                 continue
-            if note.flag in ("lost", "unheard"):
+            if note.flag in ("lost", "unheard", "deaf"):
                 # Lost: its lease is over already. Unheard: a takeover waits for it.
+                # Deaf: it reports, but its lease runs out all the same.
                 limit = self.policy.silence / (4 if note.flag == "lost" else 2)
                 if now - self.lost_since.setdefault(name, now) > limit:
                     self._return(name, "silent")
@@ -322,28 +323,33 @@
     def _idle(self, notes: dict[str, MachineNote], now: float) -> None:
         """Idle machines go back, dearest first, but for what keeps each class startable."""
         kept = self._kept(notes)
+        waits = self._waiting_specs()
         for name, note in notes.items():
             if note.flag or note.tasks or name in kept or name in self.drain:
                 continue
             if note.idle_for < self.policy.idle_release:
                 continue
-            if self._needed(note):
+            if self._needed(note, waits):
                 continue
             self.drain[name] = now
 
-    def _needed(self, note: MachineNote) -> bool:
+    def _waiting_specs(self) -> list[wire.JobSpec]:
+        """What waits and its team's limit allows: each shape of need once."""
+        found: dict[tuple[object, ...], wire.JobSpec] = {}
+        for part in self.split.notes.values():
+            for id in part.waiting:
+                job = self.book.open.get(id)
+                if job is not None:
+                    spec = job.spec
+                    key = (need_of(spec), spec.team, spec.types, spec.zone, spec.spot)
+                    found.setdefault(key, spec)
+        return [spec for spec in found.values() if self.split.limit_left(spec)]
+
+    def _needed(self, note: MachineNote, waits: list[wire.JobSpec]) -> bool:
         kind = self.types.get(note.type)
-        if kind is None:
-            return True
-        for job in self.book.open.values():
-            spec = job.spec
-            if not self.split._group_ok(spec, kind, note.zone, note.spot):
-                continue
-            if not self.split.limit_left(spec):
-                continue
-            if any(n.waiting.get(job.id) for n in self.split.notes.values()):
-                return True
-        return False
+        return kind is None or any(
+            self.split._group_ok(spec, kind, note.zone, note.spot) for spec in waits
+        )
 
     def _observe_demand(self, now: float) -> None:
         """Remember how many tasks of each shape ran or waited at once lately."""
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -25,6 +25,7 @@
 log = logging.getLogger("members")
 
 LEADER_PART = 0
+_NEVER = 1e6  # the age that a node tells which hasn't read the store yet
 
 
 def part_of(machine: str, count: int) -> int:
@@ -223,18 +224,18 @@
     def sure_at(self) -> float:
         """Up to when no cancellation can be unknown to this node.
 
-        A peer that reaches the store passes on what was cancelled. If every peer
-        answers and none reaches the store, nobody can have cancelled anything.
+        A peer that reaches the store passes on what was cancelled. Without the store,
+        only an answer from *every* peer tells as much: each names what it cancelled
+        itself, provided it has read the store since it began, and nobody else can
+        cancel. A peer that can't be heard may be committing cancellations right now,
+        so its silence moves nothing.
         """
         sure = self.replica.fresh_at
         for peer in self.peers.values():
             if peer.beat is not None:
                 sure = max(sure, peer.heard_at - peer.beat.store_age)
-        # With everyone in the same outage, silence from all is knowledge.
-        if self.peers:
-            limit = self.policy.call_timeout
-            if all(p.beat and p.beat.store_age > limit for p in self.peers.values()):
-                sure = max(sure, min(p.heard_at for p in self.peers.values()))
+        if self.peers and all(p.beat and p.beat.store_age < _NEVER for p in self.peers.values()):
+            sure = max(sure, min(p.heard_at for p in self.peers.values()))
         return sure
 
     def blind(self) -> bool:
@@ -348,6 +349,11 @@
             peer.failing = ""
         return reply
 
+    def alone(self) -> bool:
+        """No peer has answered of late: others may well be in service."""
+        limit = trio.current_time() - self.policy.session_ttl
+        return bool(self.peers) and all(p.heard_at < limit for p in self.peers.values())
+
     def peer_with_store(self) -> Peer | None:
         """A peer that has just told that it reaches the store, if we don't."""
         now = trio.current_time()
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -14,7 +14,7 @@
 from .api import Acceptances, Api
 from .fleet import Fleet
 from .jobs import Book
-from .members import Beat, Members
+from .members import _NEVER, Beat, Members
 from .split import Split
 from .workers import Workers
 
@@ -90,7 +90,7 @@
         return Beat(
             self.members.me,
             self.members.incarnation,
-            min(1e6, now - self.replica.fresh_at),
+            min(_NEVER, now - self.replica.fresh_at),
             list(self.book.cancelled),
             self.split.own_notes(),
             self.fleet.released_names(),
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -27,10 +27,19 @@
 from . import stretch
 from .jobs import Book, Job, Record, encode, merge
 from .members import Beat, MachineNote, Members, PartNote
-from .workers import Machine, Need, Placement, Workers, need_of
+from .workers import Group, Machine, Need, Placement, Workers, need_of
 
 log = logging.getLogger("split")
 
+# Jobs that may preempt in one round: the rest is looked at in the next.
+_PREEMPT = 8
+
+# Planning rests this many times as long as it took.
+_REST = 4.0
+
+# Waiting jobs that a part offers to others between two notes from them.
+_BALANCE = 24
+
 _RANK = {rank: i for i, rank in enumerate(wire.RANKS)}
 
 
@@ -91,9 +100,21 @@
 class Holding:
     """The tasks of one job in one part that this node owns."""
 
-    def __init__(self, job: Job, part: int):
+    def __init__(self, job: Job, part: int, release: float):
         self.job = job
         self.part = part
+        spec = job.spec
+        self.spec = spec
+        self.need = need_of(spec)
+        self.rank = _RANK[spec.rank]
+        self.gang = spec.kind == wire.GANG
+        self.one_zone = spec.one_zone and spec.tasks > 1
+        self.release = release  # acceptance on this node's steady clock
+        self.size = 0.0  # w, and what lateness adds: renewed with each survey
+        self.late = 0.0
+        self.aged = False  # has waited too long for its first start, or the next
+        self.groups: dict[Group, bool] = {}  # machines that the job allows
+        self.better: dict[Group, int] = {}  # see `_better_room`
         self.pool = Pool()
         self.placed: dict[int, Placement] = {}
         self.ranges: list[tuple[int, int]] = []
@@ -149,13 +170,30 @@
     return None
 
 
+class Crowd:
+    """Machines of a part that are alike, and the queue that they share evenly.
+
+    A matrix by machine would cost more with every machine; like machines with one
+    queue promise the same, since any of them takes the next task.
+    """
+
+    def __init__(self, kind: wire.MachineType) -> None:
+        self.kind = kind
+        self.machines: list[Machine] = []
+        self.work: dict[str, float] = {}  # job -> machine-seconds running and queued
+        self.ranks: dict[str, int] = {}
+        self.level = 0.0  # the least stretch that its queue meets
+
+
 class PartWork:
     def __init__(self) -> None:
         self.loaded = False
         self.settled = False
         self.blocked: set[str] = set()  # jobs whose tasks an unheard machine may hold
         self.holdings: dict[str, Holding] = {}
-        self.queues: dict[str, dict[str, int]] = {}  # machine -> job -> tasks allotted
+        self.queues: dict[Group, dict[str, int]] = {}  # like machines -> job -> tasks
+        self.crowds: dict[Group, Crowd] = {}
+        self.running: list[int] = [0] * len(wire.RANKS)  # tasks on machines, by rank
         self.early: list[Placement] = []  # seen on machines before the part settled
 
 
@@ -211,6 +249,9 @@
         self.counter = 0
         self.levelled_at = -1e9
         self.wake = trio.Event()
+        self.released: dict[str, float] = {}  # job -> acceptance on our steady clock
+        self.rooms: dict[int, dict[tuple[object, ...], int]] = {}  # see `_room`
+        self.balanced_at = -1e9
         self.matrix_at = -1e9
         # S in task-seconds per task-second: from far below any real queue upward.
         self.stretches = stretch.geometric(2.0**-12, 2.0, int(policy.stretch_samples))
@@ -252,6 +293,7 @@
 
     def on_job(self, job: Job, old: Record | None) -> None:
         if not job.open:
+            self.released.pop(job.id, None)
             for work in self.parts.values():
                 holding = work.holdings.pop(job.id, None)
                 work.blocked.discard(job.id)
@@ -279,7 +321,8 @@
         if holding is None:
             if not mine or not work.loaded or job.id in work.blocked:
                 return
-            holding = work.holdings[job.id] = Holding(job, part)
+            holding = work.holdings[job.id] = Holding(job, part, self.release(job))
+            self._renew(holding)
             holding.rebuild()
         elif holding.ranges != mine and not holding.moving:
             holding.rebuild()
@@ -437,13 +480,7 @@
         return found is None or found.cpus_max > 0 or found.gpus_max > 0
 
     def use(self, part: int, team: str) -> tuple[float, float]:
-        cpus = gpus = 0.0
-        for machine in self.workers.of_part(part):
-            for placement in machine.placements.values():
-                if placement.team == team:
-                    cpus += placement.need[0]
-                    gpus += placement.need[1]
-        return cpus, gpus
+        return self.workers.use(part, team)
 
     def _team_room(self, part: int, spec: wire.JobSpec) -> int:
         """How many more tasks of this job the team's share allows in the part."""
@@ -518,19 +555,20 @@
         )
 
     def _machine_ok(self, holding: Holding, machine: Machine) -> bool:
-        job = holding.job
-        if not self.allowed(job, machine.type, machine.zone, machine.spot):
-            return False
-        # Also what the machine remembers: a holding is new after a move or a takeover.
-        if machine.kind is None or machine.name in holding.failed_on:
+        kind = machine.kind
+        if kind is None:
             return False
-        if job.id in machine.failed_jobs:
+        ok = holding.groups.get(machine.group)
+        if ok is None:
+            ok = holding.groups[machine.group] = self.allowed(
+                holding.job, machine.type, machine.zone, machine.spot
+            ) and fits(holding.need, (kind.cpus, kind.gpus, kind.memory))
+        if not ok:
             return False
-        spec = job.spec
-        if spec.tasks > 1 and spec.one_zone and job.record.zone != machine.zone:
+        # Also what the machine remembers: a holding is new after a move or a takeover.
+        if machine.name in holding.failed_on or holding.job.id in machine.failed_jobs:
             return False
-        room = (machine.kind.cpus, machine.kind.gpus, machine.kind.memory)
-        return fits(need_of(spec), room)
+        return not holding.one_zone or holding.job.record.zone == machine.zone
 
     def slack(self, spec: wire.JobSpec) -> float:
         """Seconds a job of this class may wait and still be in time, by the tightest aim."""
@@ -550,7 +588,11 @@
 
     def release(self, job: Job) -> float:
         """The job's acceptance on this node's steady clock."""
-        return trio.current_time() - max(0.0, time.time() - job.record.at)
+        found = self.released.get(job.id)
+        if found is None:
+            found = trio.current_time() - max(0.0, time.time() - job.record.at)
+            self.released[job.id] = found
+        return found
 
     def due(self, job: Job, level: float) -> float:
         release = self.release(job)
@@ -559,6 +601,35 @@
             due = min(due, release + job.spec.deadline)
         return due + self.lateness(job, release)
 
+    def _renew(self, holding: Holding) -> None:
+        """What the order needs of a job and changes slowly: once a survey."""
+        now = trio.current_time()
+        job = holding.job
+        holding.size = self.size(holding.spec)
+        holding.late = self.lateness(job, holding.release)
+        holding.better.clear()
+        begun = bool(holding.placed) or job.finished.count > 0 or bool(job.local)
+        waits_since = holding.since if begun else min(holding.since, holding.release)
+        holding.aged = now - waits_since > self.policy.start_within / 2
+
+    def _due(self, holding: Holding, level: float) -> float:
+        """`due`, from what the last survey found."""
+        due = stretch.deadline(holding.release, holding.size, level)
+        if holding.spec.deadline is not None:
+            due = min(due, holding.release + holding.spec.deadline)
+        return due + holding.late
+
+    def _order(self, holding: Holding, level: float) -> tuple[int, bool, float]:
+        """Rank, then guarantee, then deadline; first of all who waits since too long.
+
+        A stretch deadline alone keeps nobody from starving where ranks stand above it:
+        a job that has had no start for half of what users bear comes before all others
+        until it has one, in order of acceptance.
+        """
+        if holding.aged:
+            return (-1, False, holding.release)
+        return (holding.rank, not self._under(holding.spec), self._due(holding, level))
+
     def lateness(self, job: Job, release: float) -> float:
         """Added for each aim that the job can't meet any more."""
         spec = job.spec
@@ -575,53 +646,88 @@
                 missed += 1
         return missed * 1e5
 
-    def _work(self, spec: wire.JobSpec, machine: Machine) -> float:
-        """a: machine-seconds of one task there, the image's fetch included."""
-        assert machine.kind is not None
-        seconds = self.estimates.task(spec) * machine.slow
-        if spec.image and spec.image not in machine.images:
-            seconds += spec.image_gb / max(machine.kind.fetch_rate, 1e-3) / max(1, spec.tasks)
-        return seconds * self.share_of(need_of(spec), machine.kind)
+    def _work(self, spec: wire.JobSpec, kind: wire.MachineType) -> float:
+        """a: machine-seconds of one task there, its part of the image's fetch included."""
+        seconds = self.estimates.task(spec)
+        if spec.image:
+            seconds += spec.image_gb / max(kind.fetch_rate, 1e-3) / max(1, spec.tasks)
+        return seconds * self.share_of(need_of(spec), kind)
+
+    def _survey(self, part: int) -> None:
+        """What the machines of a part hold, by groups of like machines.
 
-    def _queue(self, machine: Machine, rank: int) -> list[stretch.Entry]:
-        """A machine's queue as a job of that rank meets it: lower ranks yield."""
+        The one pass over tasks and machines; all that a report asks for rests on it
+        and on sums kept up with each change.
+        """
+        work = self.parts[part]
         now = trio.current_time()
-        work: dict[str, float] = {}
-        jobs: dict[str, Job] = {}
-        for placement in machine.placements.values():
-            job = placement.job
-            if not job.open or _RANK[placement.spec.rank] > rank:
+        left: dict[str, float] = {}
+        for id, holding in work.holdings.items():
+            self._renew(holding)
+            left[id] = self.estimates.task(holding.spec)
+        work.crowds = {}
+        work.running = [0] * len(wire.RANKS)
+        for machine in self.workers.of_part(part):
+            for placement in list(machine.placements.values()):
+                work.running[placement.rank] += 1
+                if not machine.usable and not placement.sent_seq and not placement.seen:
+                    # Chosen before the machine fell out of use: it is nowhere yet.
+                    self.workers.stop(placement, 0.0)
+            if not machine.usable or machine.resting_until >= now or machine.kind is None:
                 continue
-            ran = now - (placement.run_at or now)
-            left = max(0.1, self.estimates.task(job.spec) - ran) / max(
-                0.1, self.estimates.task(job.spec)
+            kind = machine.kind
+            crowd = work.crowds.get(machine.group)
+            if crowd is None:
+                crowd = work.crowds[machine.group] = Crowd(kind)
+            crowd.machines.append(machine)
+            for placement in machine.placements.values():
+                job = placement.job
+                seconds = left.get(job.id)
+                if seconds is None or not job.open:
+                    continue
+                if placement.run_at is not None:
+                    seconds = max(0.1, seconds - (now - placement.run_at))
+                amount = seconds * self.share_of(placement.need, kind)
+                crowd.work[job.id] = crowd.work.get(job.id, 0.0) + amount
+                crowd.ranks[job.id] = placement.rank
+        for group in [g for g in work.queues if g not in work.crowds]:
+            del work.queues[group]
+        for group, queue in work.queues.items():
+            for id, count in queue.items():
+                if count and id in work.holdings:
+                    self._queued(work, group, id, count)
+        for crowd in work.crowds.values():
+            crowd.level = max(
+                stretch.least_stretch(self._queue(work, crowd, len(wire.RANKS)), now, 0.05),
+                self.stretches[0],
             )
-            work[job.id] = work.get(job.id, 0.0) + left * self._work(job.spec, machine)
-            jobs[job.id] = job
-        for id, count in self.parts[machine.part].queues.get(machine.name, {}).items():
-            queued = self.book.open.get(id)
-            if queued is None or _RANK[queued.spec.rank] > rank:
-                continue
-            work[id] = work.get(id, 0.0) + count * self._work(queued.spec, machine)
-            jobs[id] = queued
-        return [
-            stretch.Entry(self.release(jobs[id]), self.size(jobs[id].spec), amount)
-            for id, amount in work.items()
-        ]
 
-    # --- allotting to machine queues -----------------------------------------------
+    def _queued(self, work: PartWork, group: Group, id: str, count: int) -> None:
+        crowd, holding = work.crowds[group], work.holdings[id]
+        amount = count * self._work(holding.spec, crowd.kind)
+        crowd.work[id] = crowd.work.get(id, 0.0) + amount
+        crowd.ranks[id] = holding.rank
+
+    def _queue(self, work: PartWork, crowd: Crowd, rank: int) -> list[stretch.Entry]:
+        """The queue of one of these machines as a job of that rank meets it: lower yield."""
+        out = []
+        for id, amount in crowd.work.items():
+            holding = work.holdings.get(id)
+            if holding is not None and crowd.ranks[id] <= rank:
+                out.append(stretch.Entry(
+                    holding.release, holding.size, amount / len(crowd.machines)
+                ))
+        return out
+
+    # --- allotting to queues ---------------------------------------------------------
 
     def _allot(self, part: int) -> None:
-        """Tasks not yet in a machine's queue, split by availability at the least stretch."""
+        """Tasks in no queue yet, split by availability at the least covering stretch."""
         work = self.parts[part]
-        now = trio.current_time()
-        machines = [m for m in self.workers.of_part(part) if m.usable and m.resting_until < now]
-        live = {m.name for m in machines}
-        for name in [n for n in work.queues if n not in live]:
-            del work.queues[name]
         for id, holding in work.holdings.items():
+            if holding.gang:
+                continue
             held = sum(q.get(id, 0) for q in work.queues.values())
-            spec = holding.job.spec
             if held > holding.pool.count:
                 # Taken elsewhere or given away: shorten, longest first.
                 for queue in sorted(work.queues.values(), key=lambda q: -q.get(id, 0)):
@@ -630,39 +736,47 @@
                         queue[id] -= cut
                         held -= cut
             more = holding.pool.count - held
-            if more <= 0 or spec.kind == wire.GANG:
+            if more <= 0:
                 continue
-            able = [m for m in machines if self._machine_ok(holding, m)]
+            able = [
+                (group, crowd) for group, crowd in work.crowds.items()
+                if any(self._machine_ok(holding, m) for m in crowd.machines)
+            ]
             if not able:
                 continue
-            rank = _RANK[spec.rank]
-            release, size = self.release(holding.job), self.size(spec)
-            queues = [self._queue(m, rank) for m in able]
-            costs = [self._work(spec, m) for m in able]
+            queues = [self._queue(work, crowd, holding.rank) for _, crowd in able]
+            costs = [self._work(holding.spec, crowd.kind) for _, crowd in able]
+            like = [len(crowd.machines) for _, crowd in able]
 
-            found = self._least_counts(queues, costs, release, size, more)
+            found = self._least_counts(
+                queues, costs, like, holding.release, holding.size, more
+            )
             # Beyond the largest sample nothing is promised: spread by what there is.
-            weights = found if sum(found) else [1 / max(a, 1e-6) for a in costs]
-            for machine, n in zip(able, stretch.shares(weights, more), strict=True):
+            weights = found if sum(found) else [
+                n / max(a, 1e-6) for a, n in zip(costs, like, strict=True)
+            ]
+            for (group, _), n in zip(able, stretch.shares(weights, more), strict=True):
                 if n:
-                    queue = work.queues.setdefault(machine.name, {})
+                    queue = work.queues.setdefault(group, {})
                     queue[id] = queue.get(id, 0) + n
+                    self._queued(work, group, id, n)
 
     def _least_counts(
         self,
         queues: list[list[stretch.Entry]],
         costs: list[float],
+        like: list[int],
         release: float,
         size: float,
         wanted: int,
     ) -> list[int]:
-        """Tasks that each machine can take at the least sample that covers them all."""
+        """Tasks that each group can take at the least sample that covers them all."""
         now = trio.current_time()
 
         def counts(level: float) -> list[int]:
             return [
-                stretch.capacity(stretch.gap(q, level, release, size, now), a)
-                for q, a in zip(queues, costs, strict=True)
+                n * stretch.capacity(stretch.gap(q, level, release, size, now), a)
+                for q, a, n in zip(queues, costs, like, strict=True)
             ]
 
         low, high = 0, len(self.stretches) - 1
@@ -708,36 +822,33 @@
             kept = work.holdings.get(reserved[0])
             if reserved[1] < now or kept is None or not kept.pool.count:
                 machine.reserved = reserved = None
-        own = work.queues.get(machine.name, {})
+        own = work.queues.get(machine.group, {})
+        crowd = work.crowds.get(machine.group)
+        level = crowd.level if crowd is not None else self.stretches[0]
         rows = []
-        level: float | None = None
         for id, holding in work.holdings.items():
-            spec = holding.job.spec
-            if spec.kind == wire.GANG or not self._ready(work, id, holding, now):
+            if not holding.pool.count or holding.gang:
+                continue
+            if not fits(holding.need, room) or not self._ready(work, id, holding, now):
                 continue
             if reserved is not None and id != reserved[0]:
                 continue
-            if not fits(need_of(spec), room) or not self._machine_ok(holding, machine):
+            if not self._machine_ok(holding, machine):
                 continue
-            if level is None:
-                level = max(
-                    stretch.least_stretch(self._queue(machine, len(wire.RANKS)), now, 0.05),
-                    self.stretches[0],
-                )
-            due = self.due(holding.job, level)
+            spec = holding.spec
+            rank, over, due = self._order(holding, level)
             if spec.image and spec.image not in machine.images and machine.kind is not None:
                 due += spec.image_gb / max(machine.kind.fetch_rate, 1e-3)
-            under = self._under(spec)
-            rows.append((_RANK[spec.rank], not under, due, not own.get(id, 0), id))
+            rows.append((rank, over, due, not own.get(id, 0), id))
         for _, _, _, _, id in sorted(rows):
             holding = work.holdings[id]
-            spec = holding.job.spec
-            need = need_of(spec)
+            spec, need = holding.spec, holding.need
             limit = min(times(need, room), holding.pool.count)
             if limit:
-                team_room = self._team_room(machine.part, spec)
-                better = self._better_room(holding, machine, now)
-                limit = min(limit, team_room - better, holding.pool.count - better)
+                limit = min(limit, self._team_room(machine.part, spec))
+            if limit and not holding.aged:
+                better = self._better_room(work, holding, machine, now)
+                limit = min(limit, holding.pool.count - better)
             if spec.spread and spec.tasks > 1 and limit:
                 inside = sum(
                     1 for p in holding.placed.values() if p.machine.zone == machine.zone
@@ -746,36 +857,51 @@
             for _ in range(limit):
                 self._place(holding, holding.pool.pop(), machine, self._attempt(machine.part))
                 room = (room[0] - need[0], room[1] - need[1], room[2] - need[2])
-                self._take_from_queue(work, machine.name, id)
-            if limit and not holding.pool.count:
-                machine.reserved = None
+                self._take_from_queue(work, machine.group, id)
+            if limit > 0:
+                for group in holding.better:
+                    holding.better[group] = max(0, holding.better[group] - limit)
+                if holding.aged:
+                    holding.aged = False  # it has begun: others' turn
+                if not holding.pool.count:
+                    machine.reserved = None
 
-    def _better_room(self, holding: Holding, machine: Machine, now: float) -> int:
+    def _better_room(
+        self, work: PartWork, holding: Holding, machine: Machine, now: float
+    ) -> int:
         """Tasks of this job that machines of its part with less to lose have room for.
 
         They report within `report_s`, so the tasks wait that long at most, and the
         dear or sought-after machine stays free for others, or goes back.
         """
-        spec, need = holding.job.spec, need_of(holding.job.spec)
+        spec, need = holding.spec, holding.need
         if self.report_s > self.policy.defer_share * self.slack(spec):
             return 0  # even one report's wait is dear to this class
+        found = holding.better.get(machine.group)
+        if found is not None and machine.placements:
+            return found
         cost = self.cost(spec, machine)
         room = 0
-        for other in self.workers.of_part(machine.part):
-            if other is machine or not other.usable or other.resting_until >= now:
-                continue
-            if other.reserved is not None and other.reserved[1] >= now:
-                continue
-            if now - other.heard_at > self.report_s * 1.5:
-                continue
-            theirs = self.cost(spec, other)
+        for group, crowd in work.crowds.items():
+            theirs = self.cost(spec, crowd.machines[0])
             # Between machines as dear as one another, an idle one is left alone so
             # that it can go back, while busy ones have room.
-            if theirs < cost * 0.8 or (
-                not machine.placements and other.placements and theirs < cost * 1.2
-            ):
-                if self._machine_ok(holding, other):
+            alike = not machine.placements and theirs < cost * 1.2
+            if (theirs >= cost * 0.8 and not alike) or not holding.groups.get(group, True):
+                continue
+            for other in crowd.machines:
+                if other is machine or not other.usable or other.resting_until >= now:
+                    continue
+                if theirs >= cost * 0.8 and not other.placements:
+                    continue
+                if other.reserved is not None and other.reserved[1] >= now:
+                    continue
+                if now - other.heard_at > self.report_s * 1.5:
+                    continue
+                if fits(need, other.free()) and self._machine_ok(holding, other):
                     room += times(need, other.free())
+        if machine.placements:
+            holding.better[machine.group] = room
         return room
 
     def cost(self, spec: wire.JobSpec, machine: Machine) -> float:
@@ -786,9 +912,9 @@
         price = (kind.spot_price or kind.price) if machine.spot else kind.price
         return price * self.share_of(need_of(spec), kind)
 
-    def _take_from_queue(self, work: PartWork, machine: str, id: str) -> None:
-        """From the machine's own queue, else from the longest of the part that has it."""
-        own = work.queues.get(machine)
+    def _take_from_queue(self, work: PartWork, group: Group, id: str) -> None:
+        """From the machines' own queue, else from the longest of the part that has it."""
+        own = work.queues.get(group)
         if own and own.get(id, 0):
             own[id] -= 1
             return
@@ -806,7 +932,7 @@
     def _place(self, holding: Holding, task: int, machine: Machine, attempt: int) -> None:
         placement = Placement(holding.job, task, attempt, machine)
         holding.placed[task] = placement
-        machine.placements[placement.key] = placement
+        self.workers.put(placement)
         holding.since = trio.current_time()
 
     def _gangs(self, work: PartWork, part: int) -> None:
@@ -814,7 +940,7 @@
         rows = []
         for id, holding in work.holdings.items():
             job = holding.job
-            if job.spec.kind != wire.GANG or not self._ready(work, id, holding, now):
+            if not holding.gang or not self._ready(work, id, holding, now):
                 continue
             if holding.placed:
                 continue
@@ -823,8 +949,7 @@
                     continue
             elif holding.pool.count < job.spec.tasks - job.finished.count - len(job.local):
                 continue
-            rows.append((_RANK[job.spec.rank], not self._under(job.spec),
-                         self.due(job, self.stretches[-1]), id))
+            rows.append((*self._order(holding, self.stretches[-1]), id))
         for _, _, _, id in sorted(rows):
             holding = work.holdings[id]
             plan = self._gang_plan(holding, part, now)
@@ -836,6 +961,7 @@
                 self._place(holding, holding.pool.pop(), machine, attempt)
                 if machine.reserved and machine.reserved[0] == id:
                     machine.reserved = None
+            holding.aged = False
 
     def _gang_plan(self, holding: Holding, part: int, now: float) -> list[Machine] | None:
         """A machine for every task at once, in one zone where that is asked; or None."""
@@ -851,10 +977,8 @@
                 continue
             if machine.reserved and machine.reserved[0] != job.id and machine.reserved[1] >= now:
                 continue
-            if self._machine_ok(holding, machine):
-                count = times(need, machine.free())
-                if count:
-                    machines.append((machine, count))
+            if fits(need, machine.free()) and self._machine_ok(holding, machine):
+                machines.append((machine, times(need, machine.free())))
         # The least other use first: a machine with cards is left for work that needs them.
         machines.sort(key=lambda mc: (
             not (mc[0].reserved and mc[0].reserved[0] == job.id),
@@ -962,21 +1086,26 @@
         work = self.parts[part]
         now = trio.current_time()
         rows = []
+        beyond = [t for t in self.teams if self._over_guarantee(t)]
         for id, holding in work.holdings.items():
-            if not self._ready(work, id, holding, now):
+            if not holding.pool.count or not self._ready(work, id, holding, now):
                 continue
             if now - holding.since < self.policy.preempt_after:
                 continue
-            spec = holding.job.spec
-            if spec.kind == wire.GANG and holding.placed:
+            spec = holding.spec
+            if holding.gang and holding.placed:
                 continue
-            if self._team_room(part, spec) < (spec.tasks if spec.kind == wire.GANG else 1):
+            under = self._under(spec)
+            if not sum(work.running[holding.rank + 1:]) and not (
+                under and any(team != spec.team for team in beyond)
+            ):
+                continue  # nothing here yields to it
+            if self._team_room(part, spec) < (spec.tasks if holding.gang else 1):
                 continue
-            rows.append((_RANK[spec.rank], not self._under(spec),
-                         self.due(holding.job, self.stretches[-1]), id))
-        for rank, over, _, id in sorted(rows):
+            rows.append((holding.rank, not under, self._due(holding, self.stretches[-1]), id))
+        for rank, over, _, id in sorted(rows)[:_PREEMPT]:
             holding = work.holdings[id]
-            spec = holding.job.spec
+            spec = holding.spec
             if any(m.reserved and m.reserved[0] == id and m.reserved[1] >= now
                    for m in self.workers.of_part(part)):
                 continue
@@ -1008,16 +1137,20 @@
         self, holding: Holding, part: int, rank: int, under: bool, now: float
     ) -> list[tuple[float, str, Machine, list[Placement]]]:
         """Machines where stopping yielding work makes room for a task, cheapest first."""
-        need = need_of(holding.job.spec)
+        need = holding.need
         out = []
         for machine in self.workers.of_part(part):
             if not machine.usable or machine.resting_until >= now:
                 continue
             if machine.reserved and machine.reserved[1] >= now:
                 continue
+            free = machine.free()
+            if not under:
+                a, b, c = machine.yields(rank)
+                if not fits(need, (free[0] + a, free[1] + b, free[2] + c)):
+                    continue
             if not self._machine_ok(holding, machine):
                 continue
-            free = machine.free()
             if fits(need, free):
                 continue  # room is there already: the next report starts it
             candidates = []
@@ -1059,12 +1192,13 @@
 
     def _beyond(self, spec: wire.JobSpec, other: str) -> bool:
         """Whether a team other than ours runs more than its own guarantee."""
-        if spec.team == other:
-            return False
-        team = self.teams.get(spec.team)
+        return spec.team != other and self._over_guarantee(spec.team)
+
+    def _over_guarantee(self, name: str) -> bool:
+        team = self.teams.get(name)
         if team is None:
             return False
-        cpus, gpus = self.use_anywhere(spec.team)
+        cpus, gpus = self.use_anywhere(name)
         return cpus > team.cpus + 1e-6 or (gpus > team.gpus + 1e-6 and team.gpus > 0)
 
     def _loss(self, placement: Placement, now: float) -> float:
@@ -1160,17 +1294,34 @@
 
     def _room(self, note: PartNote, spec: wire.JobSpec, *, yielding: bool) -> int:
         """How many tasks the part's machines could take now (or by preempting)."""
+        need = need_of(spec)
+        # Notes are renewed a few times a second, and asked about far more often.
+        known = self.rooms.setdefault(note.part, {})
+        key = (yielding, need, spec.types, spec.zone, spec.spot)
+        found = known.get(key)
+        if found is not None:
+            return found
         total = 0
+        ok: dict[Group, bool] = {}
         for machine in note.machines:
-            kind = self.types().get(machine.type)
-            if machine.flag or kind is None:
+            if machine.flag:
                 continue
-            if not self._group_ok(spec, kind, machine.zone, machine.spot):
-                continue
-            room: tuple[float, ...] = machine.free
+            room = machine.free
             if yielding:
-                room = tuple(a + b for a, b in zip(machine.free, machine.yielding, strict=True))
-            total += times(need_of(spec), room)
+                a, b, c = machine.yielding
+                room = (room[0] + a, room[1] + b, room[2] + c)
+            if room[0] < need[0] - 1e-6 or room[1] < need[1] - 1e-6:
+                continue
+            group = (machine.type, machine.zone, machine.spot)
+            allowed = ok.get(group)
+            if allowed is None:
+                kind = self.types().get(machine.type)
+                allowed = ok[group] = kind is not None and self._group_ok(
+                    spec, kind, machine.zone, machine.spot
+                )
+            if allowed:
+                total += times(need, room)
+        known[key] = total
         return total
 
     def _best_part(self, spec: wire.JobSpec) -> int | None:
@@ -1215,21 +1366,30 @@
             self.wake = trio.Event()
             await trio.sleep(0.05)
             try:
+                spent = 0.0
                 for part, work in list(self.parts.items()):
-                    if work.loaded:
+                    if work.loaded and part in self.parts:
+                        at = trio.current_time()
+                        self._survey(part)
                         self._allot(part)
                         self._gangs(work, part)
                         self._vacate(part)
                         self._preempt(part)
                         self._reserve(part)
-                self._refresh()
+                        spent += trio.current_time() - at
+                        await trio.sleep(0)  # reports come before planning
+                spent += self._refresh()
+                # Planning takes a bounded share of the processor, whatever its size.
+                await trio.sleep(min(self.report_s, spent * _REST))
             except Exception:
                 log.exception("split fault")
 
     async def run_splitting(self) -> None:
         """The leader gives out jobs that nobody kept; owners move what another can start."""
+        spent = 0.0
         while True:
-            await trio.sleep(0.2)
+            await trio.sleep(max(0.2, min(self.report_s, spent * _REST)))
+            at = trio.current_time()
             try:
                 if self.members.leading is not None:
                     await self._assign()
@@ -1237,6 +1397,7 @@
                 await self._rebalance()
                 await self._level()
                 await self._move_shares()
+                spent = min(self.report_s, trio.current_time() - at)
             except StoreDown as error:
                 log.debug("split not written: %s", error)
                 await trio.sleep(0.3)
@@ -1379,12 +1540,20 @@
     async def _rebalance(self) -> None:
         """Give unstarted tasks to a part that could start them now and has none queued."""
         now = trio.current_time()
+        if now - self.balanced_at < self.policy.beat:
+            return  # peers' notes are no newer
+        self.balanced_at = now
         for part, work in list(self.parts.items()):
             note = self.notes.get(part)
             if note is None or not work.settled:
                 continue
-            for id, holding in list(work.holdings.items()):
-                if not self._ready(work, id, holding, now) or now - holding.since < 0.5:
+            rows = [
+                (h.rank, h.release, id) for id, h in work.holdings.items()
+                if h.pool.count and self._ready(work, id, h, now) and now - h.since >= 0.5
+            ]
+            for _, _, id in sorted(rows)[:_BALANCE]:
+                holding = work.holdings.get(id)
+                if holding is None or not self._ready(work, id, holding, now):
                     continue
                 spec = holding.job.spec
                 waiting = holding.pool.count
@@ -1635,13 +1804,15 @@
             owner = self.members.owner(note.part)
             if owner != beat.node:
                 continue
+            self.rooms.pop(note.part, None)
             old = self.notes.get(note.part)
             if not note.matrix and old is not None:
                 note.matrix = old.matrix
             self.notes[note.part] = note
 
-    def _refresh(self) -> None:
-        """Renew our own notes; the matrices only once a period."""
+    def _refresh(self) -> float:
+        """Renew our own notes, the matrices only once a period; the time that it took."""
+        at = trio.current_time()
         now = trio.current_time()
         for part, rows in list(self.debts.items()):
             self.debts[part] = [r for r in rows if now - r[0] < self.policy.beat * 3]
@@ -1650,67 +1821,56 @@
         renew = now - self.matrix_at >= self.policy.period
         if renew:
             self.matrix_at = now
-            for part, work in self.parts.items():
-                self._log_load(part, work)
         for part, work in self.parts.items():
+            if renew:
+                self._log_load(part, work)
             old = self.notes.get(part)
             machines = []
-            groups: dict[str, list[list[stretch.Entry]]] = {}
-            lowest, queued = math.inf, 0.0
-            fresh = renew or old is None or not old.matrix
             for machine in self.workers.of_part(part):
-                flag = self._flag(machine, now)
                 free = machine.free() if machine.usable else (0.0, 0.0, 0.0)
                 if machine.reserved and machine.reserved[1] >= now:
                     free = (0.0, 0.0, 0.0)
-                yielding = [0.0, 0.0, 0.0]
-                for p in machine.placements.values():
-                    if p.job.open and p.spec.rank == wire.RANKS[-1]:
-                        for i in range(3):
-                            yielding[i] += p.need[i]
+                a, b, c = machine.yielding[-1]
                 machines.append(MachineNote(
                     machine.name, machine.type, machine.zone, machine.spot,
-                    (max(0.0, free[0]), max(0.0, free[1]), max(0.0, free[2])),
-                    (yielding[0], yielding[1], yielding[2]),
-                    len(machine.placements), now - machine.idle_since, flag, machine.slow,
+                    (max(0.0, free[0]), max(0.0, free[1]), max(0.0, free[2])), (a, b, c),
+                    len(machine.placements), now - machine.idle_since,
+                    self._flag(machine, now), machine.slow,
                 ))
-                if flag or machine.kind is None:
-                    continue
-                if fresh:
-                    queue = self._queue(machine, len(wire.RANKS))
-                    lowest = min(lowest, stretch.least_stretch(queue, now, 0.1))
-                    name = f"{machine.type}|{machine.zone}|{int(machine.spot)}"
-                    groups.setdefault(name, []).append(queue)
-            waiting = {
-                id: h.pool.count for id, h in work.holdings.items() if h.pool.count > 0
-            }
-            for h in work.holdings.values():
-                spec = h.job.spec
-                queued += h.pool.count * self.estimates.task(spec) * spec.cpus
+            waiting: dict[str, int] = {}
+            running: dict[str, int] = {}
+            queued = 0.0
+            for id, h in work.holdings.items():
+                if h.pool.count:
+                    waiting[id] = h.pool.count
+                    queued += h.pool.count * self.estimates.task(h.spec) * h.need[0]
+                active = sum(1 for p in h.placed.values() if p.state == wire.RUNNING)
+                if active:
+                    running[id] = active
             hold = self.workers.parts.get(part)
             note = PartNote(part, hold.token if hold else 0, work.settled, queued,
-                            lowest if lowest < math.inf else 0.0, machines, [], waiting)
+                            0.0, machines, [], waiting)
+            note.running = running
             note.reserved = [
                 m.reserved[0] for m in self.workers.of_part(part)
                 if m.reserved and m.reserved[1] >= now
             ]
-            for id, h in work.holdings.items():
-                active = sum(1 for p in h.placed.values() if p.state == wire.RUNNING)
-                if active:
-                    note.running[id] = active
-            for team in self.teams:
-                if self._limited(team):
-                    note.use[team] = self.use(part, team)
-            if fresh:
-                note.matrix = [
-                    (name, stretch.matrix(q, self.stretches, self.sizes, self.tasks, now))
-                    for name, q in groups.items()
-                ]
+            note.use = {t: self.use(part, t) for t in self.teams if self._limited(t)}
+            if renew or old is None or not old.matrix:
+                note.stretch = min((c.level for c in work.crowds.values()), default=0.0)
+                for (type_, zone, spot), crowd in work.crowds.items():
+                    queue = self._queue(work, crowd, len(wire.RANKS))
+                    note.matrix.append((f"{type_}|{zone}|{int(spot)}", stretch.matrix(
+                        [queue], self.stretches, self.sizes, self.tasks, now,
+                        len(crowd.machines),
+                    )))
                 self.debts.pop(part, None)
-            elif old is not None:
+            else:
                 note.matrix, note.stretch = old.matrix, old.stretch
             self.notes[part] = note
+            self.rooms.pop(part, None)
         self._find_hungry()
+        return trio.current_time() - at
 
     def _log_load(self, part: int, work: PartWork) -> None:
         """What is free and what waits, for people who read logs."""
@@ -1739,6 +1899,8 @@
             return "lost" if machine.confirmed else "unheard"
         if machine.notice_at is not None:
             return "notice"
+        if machine.deaf:
+            return "deaf"
         if machine.drain:
             return "drain"
         if machine.resting_until >= now:
--- a/pitchtally/control/stretch.py
+++ b/pitchtally/control/stretch.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -62,22 +63,41 @@
     return high
 
 
+class Line(NamedTuple):
+    """A queue in EDF order at one stretch, prepared for many new applications."""
+
+    dues: list[float]  # deadlines, rising
+    before: list[float]  # work of the applications ahead of each place
+    latest: list[float]  # x_i: the latest start of each that makes nobody late
+    late: bool  # some application misses its deadline at this stretch
+
+
+def line(queue: Sequence[Entry], stretch: float, now: float) -> Line:
+    rows = sorted((deadline(e.release, e.size, stretch), e.work) for e in queue)
+    before, done = [0.0], 0.0
+    for _, work in rows:
+        done += work
+        before.append(done)
+    latest = [math.inf] * (len(rows) + 1)
+    for i in range(len(rows) - 1, -1, -1):
+        due, work = rows[i]
+        latest[i] = min(due, latest[i + 1]) - work
+    return Line([due for due, _ in rows], before, latest, bool(rows) and latest[0] < now)
+
+
+def gap_in(found: Line, limit: float, start: float) -> float:
+    """Algorithm 3 on a prepared queue: h before the deadline `limit`, from `start` on."""
+    if found.late:
+        return 0.0
+    place = bisect.bisect_left(found.dues, limit)
+    return max(0.0, min(limit, found.latest[place]) - (start + found.before[place]))
+
+
 def gap(queue: Sequence[Entry], stretch: float, release: float, size: float, now: float) -> float:
     """Algorithm 3: machine-seconds free for a new application at this stretch (h)."""
-    limit = deadline(release, size, stretch)
-    rows = sorted((deadline(e.release, e.size, stretch), e.work) for e in queue)
-    latest = math.inf  # x_i, from the last application back to the first
-    bound = math.inf  # x_k of the first application after the new one
-    before = 0.0
-    for due, work in reversed(rows):
-        latest = min(due, latest) - work
-        if due >= limit:
-            bound = latest
-        else:
-            before += work
-    if rows and latest < now:
-        return 0.0  # some application misses its deadline at this stretch
-    return max(0.0, min(limit, bound) - (max(release, now) + before))
+    return gap_in(
+        line(queue, stretch, now), deadline(release, size, stretch), max(release, now)
+    )
 
 
 def capacity(free: float, task: float) -> int:
@@ -114,14 +134,20 @@
     sizes: Sequence[float],
     tasks: Sequence[float],
     now: float,
+    like: int = 1,
 ) -> list[list[list[int]]]:
-    """Availability summed over machines: cell [S][w][a] is a number of tasks."""
+    """Availability summed over machines: cell [S][w][a] is a number of tasks.
+
+    A queue may stand for `like` machines that share its work evenly.
+    """
     out = []
     for stretch in stretches:
+        lines = [line(queue, stretch, now) for queue in queues]
         plane = []
         for size in sizes:
-            gaps = [gap(queue, stretch, now, size, now) for queue in queues]
-            plane.append([sum(capacity(g, a) for g in gaps) for a in tasks])
+            limit = deadline(now, size, stretch)
+            gaps = [gap_in(found, limit, now) for found in lines]
+            plane.append([like * sum(capacity(g, a) for g in gaps) for a in tasks])
         out.append(plane)
     return out
 
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import msgspec
@@ -29,10 +29,14 @@
 # Steady clocks drift by up to 0.05 %; the rest covers timers that fire late.
 DRIFT = 1.002
 
+# Answers without effect after which a machine is taken for one that hears nothing.
+UNHEEDED = 2
+
 _report = msgspec.json.Decoder(wire.Report)
 encode = msgspec.json.encode
 
 Need = tuple[float, float, float]
+Group = tuple[str, str, bool]  # type, zone, spot: machines alike but for their state
 
 
 def need_of(spec: wire.JobSpec) -> Need:
@@ -42,8 +46,8 @@
 class Placement:
     """A task on a machine, from the order to start it until it is known to be gone."""
 
-    __slots__ = ("at", "attempt", "grace", "job", "kill_at", "machine", "need", "run_at",
-                 "seen", "sent_seq", "spec", "state", "task", "team")
+    __slots__ = ("at", "attempt", "grace", "job", "key", "kill_at", "machine", "need", "rank",
+                 "run_at", "seen", "sent_seq", "spec", "state", "task", "team")
 
     def __init__(self, job: Job, task: int, attempt: int, machine: Machine):
         self.job = job
@@ -60,17 +64,16 @@
         self.grace: float | None = None  # not None: to be stopped
         self.kill_at = 0.0
         self.team = job.spec.team
-
-    @property
-    def key(self) -> str:
-        return f"{self.job.id}/{self.task}"
+        self.rank = wire.RANKS.index(job.spec.rank)
+        self.key = f"{job.id}/{task}"
 
 
 class Machine:
-    __slots__ = ("address", "answered_at", "confirmed", "drain", "errors", "exits", "failed_jobs",
-                 "heard_at", "idle_since", "images", "kind", "lost", "name", "notice_at", "part",
-                 "placements", "recorded", "reserved", "resting_until", "seq", "session", "slow",
-                 "spot", "type", "zone")
+    __slots__ = ("address", "answered_at", "asked", "confirmed", "drain", "errors", "exits",
+                 "failed_jobs", "group", "heard_at", "idle_since", "images", "kind", "lost",
+                 "name", "notice_at", "part", "placements", "recorded", "reported", "reserved",
+                 "resting_until", "seq", "session", "slow", "spot", "type", "unheeded", "used",
+                 "yielding", "zone")
 
     def __init__(self, name: str, part: int, type: str, zone: str, spot: bool, address: str):
         now = trio.current_time()
@@ -79,6 +82,7 @@
         self.type = type
         self.zone = zone
         self.spot = spot
+        self.group: Group = (type, zone, spot)
         self.address = address
         self.kind: wire.MachineType | None = None
         self.session = 0
@@ -90,6 +94,8 @@
         self.idle_since = now
         self.notice_at: float | None = None
         self.placements: dict[str, Placement] = {}
+        self.used = [0.0, 0.0, 0.0]  # by its placements
+        self.yielding = [[0.0, 0.0, 0.0] for _ in wire.RANKS]  # the same, by rank
         self.exits: dict[str, tuple[int, str]] = {}  # ended tasks to be forgotten
         self.images: dict[str, float] = {}
         self.failed_jobs: dict[str, int] = {}
@@ -99,15 +105,32 @@
         self.lost = False
         self.reserved: tuple[str, float] | None = None  # room kept for a job, until when
         self.slow = 1.0
+        self.reported = (0, -1)  # (session, seq) of the newest report, answers apart
+        self.asked: list[wire.Order] = []  # whose effect the next report must show
+        self.unheeded = 0
 
     def free(self) -> Need:
         if self.kind is None:
             return (0.0, 0.0, 0.0)
-        cpus, gpus, memory = self.kind.cpus, self.kind.gpus, self.kind.memory
-        for placement in self.placements.values():
-            a, b, c = placement.need
-            cpus, gpus, memory = cpus - a, gpus - b, memory - c
-        return (cpus, gpus, memory)
+        used, kind = self.used, self.kind
+        return (kind.cpus - used[0], kind.gpus - used[1], kind.memory - used[2])
+
+    def yields(self, rank: int) -> Need:
+        """What work of lower rank than this one holds."""
+        a = b = c = 0.0
+        for x, y, z in self.yielding[rank + 1:]:
+            a, b, c = a + x, b + y, c + z
+        return (a, b, c)
+
+    def _count(self, placement: Placement, sign: float) -> None:
+        by_rank = self.yielding[placement.rank]
+        for i, amount in enumerate(placement.need):
+            self.used[i] += sign * amount
+            by_rank[i] += sign * amount
+        if not self.placements:
+            # Sums of many floats drift: an empty machine is exactly empty.
+            self.used = [0.0, 0.0, 0.0]
+            self.yielding = [[0.0, 0.0, 0.0] for _ in wire.RANKS]
 
     @property
     def usable(self) -> bool:
@@ -117,9 +140,15 @@
             and self.kind is not None
             and not self.drain
             and not self.lost
+            and not self.deaf
             and self.notice_at is None
         )
 
+    @property
+    def deaf(self) -> bool:
+        """Its reports arrive, but what we say doesn't reach it."""
+        return self.unheeded >= UNHEEDED
+
 
 class PartHold:
     """A part that this node owns."""
@@ -158,6 +187,11 @@
         self.types = types
         self.count = settings.deployment.count
         self.machines: dict[str, Machine] = {}
+        # Kept up with every change: nothing that a report asks for may cost more with
+        # more machines, jobs or tasks in the part.
+        self.in_part: dict[int, dict[str, Machine]] = {}
+        self.by_job: dict[str, dict[Placement, None]] = {}  # a set in order: days repeat
+        self.team_use: dict[tuple[int, str], list[float]] = {}  # CPUs, GPUs, tasks
         self.parts: dict[int, PartHold] = {}
         self.records: dict[tuple[int, int], dict[str, list[Any]]] = {}
         self.released: dict[str, float] = {}  # names the cloud has confirmed gone
@@ -188,10 +222,57 @@
     def drop_part(self, part: int) -> None:
         if self.parts.pop(part, None) is None:
             return
-        for machine in [m for m in self.machines.values() if m.part == part]:
+        for machine in self.in_part.pop(part, {}).values():
+            for placement in list(machine.placements.values()):
+                self.drop(placement)
             del self.machines[machine.name]
         self.on_lost_part(part)
 
+    # --- places ----------------------------------------------------------------
+
+    def put(self, placement: Placement) -> None:
+        """A task takes its place on a machine."""
+        machine = placement.machine
+        old = machine.placements.get(placement.key)
+        if old is not None:
+            self.drop(old)
+        machine.placements[placement.key] = placement
+        machine._count(placement, 1.0)
+        self.by_job.setdefault(placement.job.id, {})[placement] = None
+        use = self.team_use.setdefault((machine.part, placement.team), [0.0, 0.0, 0.0])
+        use[0] += placement.need[0]
+        use[1] += placement.need[1]
+        use[2] += 1
+
+    def drop(self, placement: Placement) -> bool:
+        """The place is free again; False if it was already."""
+        machine = placement.machine
+        if machine.placements.get(placement.key) is not placement:
+            return False
+        del machine.placements[placement.key]
+        machine._count(placement, -1.0)
+        mates = self.by_job.get(placement.job.id)
+        if mates is not None:
+            mates.pop(placement, None)
+            if not mates:
+                del self.by_job[placement.job.id]
+        use = self.team_use[(machine.part, placement.team)]
+        use[0] -= placement.need[0]
+        use[1] -= placement.need[1]
+        use[2] -= 1
+        if not use[2]:
+            use[0] = use[1] = 0.0  # sums drift, limits must not
+        return True
+
+    def use(self, part: int, team: str) -> tuple[float, float]:
+        found = self.team_use.get((part, team))
+        return (found[0], found[1]) if found is not None else (0.0, 0.0)
+
+    def _pop(self, name: str) -> None:
+        machine = self.machines.pop(name, None)
+        if machine is not None:
+            self.in_part.get(machine.part, {}).pop(name, None)
+
     def _on_record(self, key: str, value: bytes | None, version: int) -> None:
         part, _, chunk = key.partition("/")
         where = (int(part), int(chunk))
@@ -244,6 +325,7 @@
         machine = Machine(name, part_of(name, self.count), type_, zone, spot, address)
         machine.kind = self.types().get(type_)
         self.machines[name] = machine
+        self.in_part.setdefault(machine.part, {})[name] = machine
         return machine
 
     # --- reports ----------------------------------------------------------------
@@ -269,17 +351,68 @@
             return Response(503, b"{}")
         if report.machine in self.released:
             return Response(503, b"{}")
+        known = self.machines.get(report.machine)
+        if known is not None and (report.session, report.seq) <= known.reported:
+            # Every report has its own number: this is a copy, and nobody waits for
+            # its answer.
+            return Response(503, b"{}")
+        if known is not None:
+            self._heeded(known, report)
         machine = self.observe(report, hold, direct=False)
         if machine is None:
+            # Without our token it may be a copy of any age: it earns the token, no
+            # more. With it, a direct answer overtook it: the worker counts its lease
+            # from this report, which it sent before that answer.
+            if known is not None:
+                known.answered_at = max(known.answered_at, known.heard_at)
             return Response(200, encode(wire.Orders(token, [])))
-        orders = self._orders(machine, hold, report)
+        machine.reported = (report.session, report.seq)
+        orders = self._orders(machine, report)
+        machine.asked = [o for o in orders if o.op != wire.STOP]
         machine.answered_at = trio.current_time()
         return Response(200, encode(wire.Orders(token, orders)))
 
+    def _heeded(self, machine: Machine, report: wire.Report) -> None:
+        """Whether the last answer had an effect: that it was sent proves nothing.
+
+        The worker sends one report at a time, so the next one shows every order that
+        reached it. A machine that hears nothing takes no more work until it does.
+        """
+        if (report.session, report.seq) <= (machine.session, machine.seq):
+            return
+        now = trio.current_time()
+        unheard = False
+        if report.session > machine.session:
+            # Its lease ran out although we answered within it.
+            unheard = machine.confirmed and now - machine.answered_at < self.times.lease_s
+            machine.unheeded += int(unheard) * (UNHEEDED - 1)
+        elif machine.asked:
+            listed = {task.task: task.attempt for task in report.tasks}
+            unheard = not any(
+                (listed.get(order.task) == order.attempt) == (order.op == wire.START)
+                for order in machine.asked
+            )
+        else:
+            return
+        machine.asked = []
+        machine.unheeded = machine.unheeded + 1 if unheard else 0
+        if machine.unheeded == UNHEEDED:
+            log.info("answers don't reach machine=%s tasks=%d", machine.name,
+                     len(machine.placements))
+
     def observe(self, report: wire.Report, hold: PartHold, *, direct: bool) -> Machine | None:
-        """Take in a report; None if it is older than what is known."""
+        """Take in a report; None if it is older than what is known, or may be.
+
+        Only our token proves that a report was made after this node took the part:
+        any other may be a copy, late by more than a lease, of a machine long gone.
+        """
         now = trio.current_time()
         machine = self.machines.get(report.machine)
+        if report.token != hold.token:
+            if machine is not None and direct and report.session > machine.session:
+                machine.session = report.session  # what the next command must name
+                machine.seq = -1
+            return None
         if machine is None:
             machine = self._add(report.machine, report.type, report.zone, report.spot,
                                 report.address)
@@ -301,7 +434,7 @@
             log.info("notice machine=%s in=%.1f", machine.name, report.notice)
         machine.notice_at = None if report.notice is None else now + report.notice
         self._reconcile(machine, report, hold, direct)
-        if report.token == hold.token and not machine.confirmed:
+        if not machine.confirmed:
             machine.confirmed = True
             # Until it saw our token, an earlier owner may have renewed its lease.
             machine.idle_since = machine.answered_at = now
@@ -322,8 +455,7 @@
 
     def _gone(self, placement: Placement, cause: str) -> None:
         machine = placement.machine
-        if machine.placements.get(placement.key) is placement:
-            del machine.placements[placement.key]
+        self.drop(placement)
         if not machine.placements:
             machine.idle_since = trio.current_time()
         self.on_gone(placement, cause)
@@ -363,7 +495,7 @@
                 placement_ = self._adopted(machine, key, task_)
                 if placement_ is None:
                     continue
-                machine.placements[key] = placement_
+                self.put(placement_)
                 if not self.adopt(placement_):
                     placement_.grace = 0.0
             placement_.seen = True
@@ -406,8 +538,7 @@
             log.info("task failed task=%s machine=%s", key, machine.name)
         elif cause not in (wire.STOPPED,):
             log.info("task ended task=%s machine=%s cause=%s", key, machine.name, cause)
-        if machine.placements.get(key) is placement:
-            del machine.placements[key]
+        self.drop(placement)
         if not machine.placements:
             machine.idle_since = now
         self.on_gone(placement, cause)
@@ -441,10 +572,7 @@
             orders.append(wire.Order(wire.FORGET, key, attempt))
         return orders
 
-    def _orders(self, machine: Machine, hold: PartHold, report: wire.Report) -> list[wire.Order]:
-        if report.token != hold.token:
-            # The response puts our token on the machine; orders wait for a report with it.
-            return []
+    def _orders(self, machine: Machine, report: wire.Report) -> list[wire.Order]:
         orders = self._kills(machine) + self._forgets(machine)
         if machine.usable:
             for placement in self.fill(machine):
@@ -475,10 +603,8 @@
 
     def stop_job(self, id: str) -> None:
         """A cancelled job: all its tasks, wherever they are."""
-        for machine in list(self.machines.values()):
-            for placement in list(machine.placements.values()):
-                if placement.job.id == id:
-                    self.stop(placement, 0.0)
+        for placement in list(self.by_job.get(id, ())):
+            self.stop(placement, 0.0)
 
     # --- loops ------------------------------------------------------------------------
 
@@ -497,6 +623,10 @@
                         machine = self.machines.get(name)
                         if machine is not None and limit.available_tokens:
                             nursery.start_soon(self._direct, machine, hold, limit)
+                for machine in list(self.machines.values()):
+                    held = self.parts.get(machine.part)
+                    if machine.deaf and held is not None and limit.available_tokens:
+                        nursery.start_soon(self._direct, machine, held, limit)
                 for name in list(self.touched):
                     self.touched.discard(name)
                     machine = self.machines.get(name)
@@ -531,6 +661,7 @@
                     return
                 self.observe(report, hold, direct=True)
                 if response.status == 200:
+                    machine.unheeded = 0  # commands reach it after all
                     return
 
     async def run_expiry(self) -> None:
@@ -559,7 +690,7 @@
                 ):
                     machine.lost = True
                 if machine.lost and not machine.recorded and silent > self.policy.silence * 4:
-                    self.machines.pop(machine.name, None)
+                    self._pop(machine.name)
 
     def forget_machine(self, name: str) -> None:
         """The cloud has confirmed that the machine, and all on it, is gone."""
@@ -569,7 +700,7 @@
             return
         hold = self.parts.get(machine.part)
         self._clear(machine, "released")
-        del self.machines[name]
+        self._pop(name)
         if hold is not None and name in hold.suspects:
             hold.suspects.discard(name)
             self._settle(hold)
@@ -629,8 +760,8 @@
         if not hold.loaded:
             return
         wanted: dict[int, dict[str, list[Any]]] = {}
-        for machine in self.machines.values():
-            if machine.part == hold.part and (machine.confirmed or machine.recorded):
+        for machine in self.of_part(hold.part):
+            if machine.confirmed or machine.recorded:
                 row = [machine.type, machine.zone, machine.spot, machine.address]
                 wanted.setdefault(self._chunk(machine.name), {})[machine.name] = row
         chunks = {c for p, c in self.records if p == hold.part} | set(wanted)
@@ -657,5 +788,5 @@
 
     # --- views --------------------------------------------------------------------------
 
-    def of_part(self, part: int) -> Iterable[Machine]:
-        return [m for m in self.machines.values() if m.part == part]
+    def of_part(self, part: int) -> Collection[Machine]:
+        return self.in_part.get(part, {}).values()
--- a/pitchtally/policy.py
+++ b/pitchtally/policy.py
@@ -44,6 +44,8 @@
                   "the peak of so many seconds is kept ready for classes that can't wait"),
     "preempt_after": ("workers.report_s / 2", 0, 600, "wait this long for room before preempting"),
     "sick_rest": ("workers.lease_s * 3", 1, 36000, "rest for a machine that fails several jobs"),
+    "start_within": ("240", 1, 36000,
+                     "users bear this wait for a start: at half of it a job goes first"),
     "list_every": ("cloud.list_lag_s / 2", 0.1, 600, "seconds between machine lists"),
 }
 
@@ -93,6 +95,7 @@
     defer_share: float
     preempt_after: float
     sick_rest: float
+    start_within: float
     list_every: float
 
     def __init__(self, figures: dict[str, float]):
