Gangs planned over all parts at once; preemption only where the whole gang gains room

Change: the accepting node or the leader plans a gang over all parts, by what is free, what lower ranks hold, what teams beyond their guarantee hold; a part stops others only for the whole of its share.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -392,16 +392,18 @@
 
     async def _accept(self, spec: wire.JobSpec) -> Response:
         key = f"pt/jobs/{spec.id}"
-        ranges = self.split.decide(spec)
+        plan = self.split.decide(spec)
         conditions = {key: 0}
-        for _, _, part in ranges:
+        for _, _, part in plan.ranges:
             # Tasks given to a part of ours: only while it is ours, so that no
             # earlier owner can have started one of them.
             token = self.members.token(part)
             if token is not None:
                 conditions[f"pt/parts/{part}"] = token
-        zone = self.split.pick_zone(spec, ranges)
-        record = Record(jobs.OPEN, spec.tasks, spec, round(time.time(), 3), ranges, zone=zone)
+        record = Record(
+            jobs.OPEN, spec.tasks, spec, round(time.time(), 3), plan.ranges, zone=plan.zone,
+            attempt=plan.attempt, caps=plan.caps,
+        )
         change = Write(key, encode(record))
         if len(change.value or b"") > self.store.limits.value_kb * 1024:
             return _error(400, "body", "too large to keep")
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -67,6 +67,7 @@
     idle_for: float
     flag: str  # "", "drain", "sick", "lost", "notice"
     slow: float = 1.0
+    over: tuple[float, float, float] = (0.0, 0.0, 0.0)  # by teams beyond their guarantee
 
 
 class PartNote(Struct, array_like=True):
@@ -80,6 +81,7 @@
     waiting: dict[str, int] = {}  # job -> tasks not started
     reserved: list[str] = []  # jobs that a machine is kept free for
     running: dict[str, int] = {}  # job -> tasks running
+    kept: list[str] = []  # machines kept free
     use: dict[str, tuple[float, float]] = {}  # team -> CPUs and GPUs in use here
 
 
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -15,7 +15,7 @@
 import math
 import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
@@ -155,6 +155,7 @@
     zones = sorted({zone for _, zone in rooms})
     choices = [[zone] for zone in zones] if one_zone else [zones]
     limit = (tasks + 1) // 2 if spread and tasks > 1 else tasks
+    best: dict[tuple[int, str], int] | None = None
     for choice in choices:
         left = tasks
         inside = dict.fromkeys(choice, limit)
@@ -165,9 +166,35 @@
                 plan[(part, zone)] = n
                 left -= n
                 inside[zone] -= n
-        if not left:
-            return plan
-    return None
+        # Fewer parts, fewer owners whose places have to come free at the same time.
+        if not left and (best is None or len(plan) < len(best)):
+            best = plan
+    return best
+
+
+class Plan(NamedTuple):
+    """Who gets a job's tasks, and what binds gangs over several parts."""
+
+    ranges: list[tuple[int, int, int]]
+    zone: str | None = None
+    attempt: int = 0
+    caps: list[tuple[int, str, int]] = []
+
+
+NOBODY = Plan([])
+
+# How a gang may get its room: what is free, what lower ranks hold as well, and what
+# teams beyond their guarantee hold as well.
+FREE, YIELDING, OVER = range(3)
+
+
+class Step(NamedTuple):
+    """Room for one more task on a machine, and whom it takes to stop for it."""
+
+    cost: float
+    name: str
+    machine: Machine
+    victims: list[Placement]
 
 
 class Crowd:
@@ -252,6 +279,8 @@
         self.released: dict[str, float] = {}  # job -> acceptance on our steady clock
         self.rooms: dict[int, dict[tuple[object, ...], int]] = {}  # see `_room`
         self.balanced_at = -1e9
+        # Room promised to gangs that notes can't show yet: (at, (part, zone), need, tasks).
+        self.booked: list[tuple[float, tuple[int, str], Need, int]] = []
         self.matrix_at = -1e9
         # S in task-seconds per task-second: from far below any real queue upward.
         self.stretches = stretch.geometric(2.0**-12, 2.0, int(policy.stretch_samples))
@@ -1008,38 +1037,48 @@
         return price * (1.0 if kind.gpus and not need[1] else 0.0)
 
     def _reserve(self, part: int) -> None:
-        """Keep the machine that soonest has room free for a gang that waits.
+        """Keep the machines that soonest have room free for a gang that waits.
 
         Arrays take room task by task as it frees up; a gang of equal rank would wait
-        until they run dry. Only gangs that fit one machine: others are rare, and
-        several machines draining for one job cost more than they bring.
+        until they run dry. One gang at a time, unless one machine holds it whole, and
+        none whose room is far off: machines that drain bring nothing meanwhile.
         """
         work = self.parts[part]
         now = trio.current_time()
-        machines = self.workers.of_part(part)
+        machines = [m for m in self.workers.of_part(part) if m.usable and m.resting_until < now]
         kept = {m.reserved[0] for m in machines if m.reserved and m.reserved[1] >= now}
-        for id, holding in sorted(work.holdings.items(), key=lambda h: h[1].job.record.at):
-            spec = holding.job.spec
-            if spec.kind != wire.GANG or holding.placed or id in kept:
+        wide = any((h := work.holdings.get(id)) is not None and h.spec.tasks > 1 for id in kept)
+        gangs = [(h.release, id, h) for id, h in work.holdings.items() if h.gang]
+        for _, id, holding in sorted(gangs, key=lambda g: g[:2]):
+            if holding.placed or id in kept or holding.job.record.attempt:
                 continue
             if not self._ready(work, id, holding, now) or now - holding.since < self.report_s:
                 continue
-            need = need_of(spec)
-            whole_need = (need[0] * spec.tasks, need[1] * spec.tasks, need[2] * spec.tasks)
-            best: tuple[float, Machine] | None = None
+            wanted = holding.pool.count
+            if wanted > 1 and (wide or not self.late(holding.job)):
+                continue
+            rows = []
             for machine in machines:
-                if not machine.usable or machine.resting_until >= now or machine.kind is None:
-                    continue
                 if machine.reserved and machine.reserved[1] >= now:
                     continue
-                if not self._machine_ok(holding, machine):
+                if self._machine_ok(holding, machine):
+                    for n in range(1, wanted + 1):
+                        a, b, c = holding.need
+                        eta = self._room_at(machine, (a * n, b * n, c * n), now)
+                        if eta is None:
+                            break
+                        rows.append((eta, machine.name, n, machine))
+            chosen = sorted(rows, key=lambda r: r[:3])[:wanted]
+            if len(chosen) < wanted or not chosen or chosen[-1][0] <= 0:
+                continue
+            eta = chosen[-1][0]
+            if wanted > 1:
+                if eta > self.policy.start_within / 4:
                     continue
-                eta = self._room_at(machine, whole_need, now)
-                if eta is not None and (best is None or eta < best[0]):
-                    best = (eta, machine)
-            if best is not None and best[0] > 0:
-                best[1].reserved = (id, now + best[0] * 1.5 + self.report_s * 3)
-                log.debug("reserved machine=%s for=%s eta=%.1f", best[1].name, id, best[0])
+                wide = True
+            for machine in {row[1]: row[3] for row in chosen}.values():
+                machine.reserved = (id, now + eta * 1.5 + self.report_s * 3)
+            log.info("kept machines=%d for=%s eta=%.1f", len({r[1] for r in chosen}), id, eta)
 
     def _room_at(self, machine: Machine, need: Need, now: float) -> float | None:
         """Seconds until a machine has room for a need if nothing more starts there."""
@@ -1090,10 +1129,13 @@
         for id, holding in work.holdings.items():
             if not holding.pool.count or not self._ready(work, id, holding, now):
                 continue
-            if now - holding.since < self.policy.preempt_after:
+            if now - holding.since < self.policy.preempt_after and not holding.gang:
                 continue
             spec = holding.spec
-            if holding.gang and holding.placed:
+            if holding.gang and (
+                holding.placed
+                or (holding.job.record.attempt and holding.tried == holding.job.record.attempt)
+            ):
                 continue
             under = self._under(spec)
             if not sum(work.running[holding.rank + 1:]) and not (
@@ -1106,22 +1148,40 @@
         for rank, over, _, id in sorted(rows)[:_PREEMPT]:
             holding = work.holdings[id]
             spec = holding.spec
-            if any(m.reserved and m.reserved[0] == id and m.reserved[1] >= now
-                   for m in self.workers.of_part(part)):
+            if self._kept_for(part, id):
                 continue
             wanted = holding.pool.count
-            for _, _, machine, victims in self._victims(holding, part, rank, not over, now):
-                if wanted <= 0:
-                    break
-                for victim in victims:
-                    for each in self._with_gang(work, victim):
-                        self.workers.stop(each, each.spec.save)
-                grace = max((v.spec.save for v in victims), default=0.0)
-                machine.reserved = (id, now + grace + self.report_s * 3)
-                wanted -= 1
-                log.info("preempted machine=%s for=%s tasks=%d", machine.name, id, len(victims))
-                if spec.kind != wire.GANG:
-                    break  # one machine at a time: estimates of room are rough
+            steps = self._steps(holding, part, rank, not over, now)
+            if not holding.gang:
+                # Where room is free already the next report starts them.
+                wanted -= sum(1 for step in steps if not step.victims)
+            chosen: list[Step] = []
+            zones: dict[str, int] = {}
+            caps = {zone: cap for p, zone, cap in holding.job.record.caps if p == part}
+            for step in steps:
+                zone = step.machine.zone
+                if len(chosen) >= wanted or zones.get(zone, 0) >= caps.get(zone, wanted):
+                    continue
+                if not holding.gang and not step.victims:
+                    continue
+                zones[zone] = zones.get(zone, 0) + 1
+                chosen.append(step)
+            if holding.gang and len(chosen) < wanted:
+                continue  # stopping some would gain nothing
+            if not holding.gang:
+                # One machine at a time: estimates of room are rough.
+                chosen = [c for c in chosen if c.machine is chosen[0].machine]
+            victims = [v for step in chosen for v in step.victims]
+            if not victims:
+                continue
+            for victim in victims:
+                for each in self._with_gang(work, victim):
+                    self.workers.stop(each, each.spec.save)
+            grace = max((v.spec.save for v in victims), default=0.0)
+            for step in chosen:
+                step.machine.reserved = (id, now + grace + self.report_s * 3)
+            log.info("preempted for=%s machines=%d tasks=%d", id,
+                     len({c.machine.name for c in chosen}), len(victims))
 
     def _shared(self, placement: Placement) -> bool:
         """A gang over several parts can't be stopped in order from here."""
@@ -1133,26 +1193,27 @@
             return list(holding.placed.values())
         return [victim]
 
-    def _victims(
+    def _steps(
         self, holding: Holding, part: int, rank: int, under: bool, now: float
-    ) -> list[tuple[float, str, Machine, list[Placement]]]:
-        """Machines where stopping yielding work makes room for a task, cheapest first."""
+    ) -> list[Step]:
+        """What makes room for one more task each, cheapest first; nothing where it is free."""
         need = holding.need
         out = []
+        wanted = holding.pool.count
         for machine in self.workers.of_part(part):
             if not machine.usable or machine.resting_until >= now:
                 continue
-            if machine.reserved and machine.reserved[1] >= now:
+            if machine.reserved and machine.reserved[0] != holding.job.id and (
+                machine.reserved[1] >= now
+            ):
                 continue
-            free = machine.free()
+            room: tuple[float, float, float] = machine.free()
             if not under:
                 a, b, c = machine.yields(rank)
-                if not fits(need, (free[0] + a, free[1] + b, free[2] + c)):
+                if not fits(need, (room[0] + a, room[1] + b, room[2] + c)):
                     continue
             if not self._machine_ok(holding, machine):
                 continue
-            if fits(need, free):
-                continue  # room is there already: the next report starts it
             candidates = []
             for placement in machine.placements.values():
                 if placement.grace is not None or placement.job.id == holding.job.id:
@@ -1160,22 +1221,25 @@
                 if self._shared(placement):
                     continue
                 spec = placement.spec
-                lower = _RANK[spec.rank] > rank
-                if not lower and not (under and self._beyond(spec, holding.job.spec.team)):
+                lower = placement.rank > rank
+                if not lower and not (under and self._beyond(spec, holding.spec.team)):
                     continue
-                candidates.append((self._loss(placement, now), placement))
-            candidates.sort(key=lambda c: c[0])
-            room, cost, victims = free, 0.0, []
-            for loss, placement in candidates:
-                if fits(need, room):
+                candidates.append((self._loss(placement, now), placement.key, placement))
+            candidates.sort(key=lambda c: c[:2], reverse=True)
+            cost = 0.0
+            for _ in range(wanted):
+                victims = []
+                while candidates and not fits(need, room):
+                    loss, _, placement = candidates.pop()
+                    a, b, c = placement.need
+                    room = (room[0] + a, room[1] + b, room[2] + c)
+                    cost += loss
+                    victims.append(placement)
+                if not fits(need, room):
                     break
-                a, b, c = placement.need
-                room = (room[0] + a, room[1] + b, room[2] + c)
-                cost += loss
-                victims.append(placement)
-            if fits(need, room):
-                out.append((cost, machine.name, machine, victims))
-        return sorted(out, key=lambda row: row[:2])
+                room = (room[0] - need[0], room[1] - need[1], room[2] - need[2])
+                out.append(Step(cost, machine.name, machine, victims))
+        return sorted(out, key=lambda step: step[:2])
 
     def limit_left(self, spec: wire.JobSpec) -> int:
         """How many more tasks of a job its team's limit allows, over all parts."""
@@ -1209,7 +1273,8 @@
         ran = now - placement.run_at
         if spec.checkpoint:
             ran = min(ran, spec.save)
-        return ran * max(placement.need[0], 0.1) + 0.1
+        mates = spec.tasks if spec.kind == wire.GANG else 1  # they stop together
+        return ran * max(placement.need[0], 0.1) * mates + 0.1
 
     # --- splitting between parts -------------------------------------------------------------
 
@@ -1239,14 +1304,28 @@
             return False
         return fits(need_of(spec), (kind.cpus, kind.gpus, kind.memory))
 
-    def decide(self, spec: wire.JobSpec) -> list[tuple[int, int, int]]:
-        """On acceptance: keep the job in a part of ours, or [] to send it to the leader."""
+    def decide(self, spec: wire.JobSpec) -> Plan:
+        """On acceptance: keep the job in a part of ours, or NOBODY to send it to the leader.
+
+        A gang's tasks are placed at once wherever there is room for all: it has no
+        stretch to compare, and a detour by the leader would only cost time.
+        """
         mine = [p for p, w in self.parts.items() if w.loaded and p in self.notes]
         if not mine:
-            return []
+            return NOBODY
+        if spec.kind == wire.GANG:
+            token = self.members.token(mine[0])
+            return (token is not None and self.plan_gang(spec, token)) or NOBODY
         if whole(spec):
             best = self._best_part(spec)
-            return [(0, spec.tasks, best)] if best in mine else []
+            if best not in mine:
+                return NOBODY
+            ranges = [(0, spec.tasks, best)]
+            return Plan(ranges, self.pick_zone(spec, ranges))
+        return Plan(self._keep(spec, mine))
+
+    def _keep(self, spec: wire.JobSpec, mine: list[int]) -> list[tuple[int, int, int]]:
+        """The B test on our parts; the leader splits at once what none of them keeps."""
         lowest = max(min((n.stretch for n in self.notes.values()), default=0.0), self.stretches[0])
         for part in mine:
             counts = [
@@ -1406,7 +1485,16 @@
 
     async def _assign(self) -> None:
         token = self.members.leading
-        for job in list(self.book.open.values()):
+        waiting = [
+            job for job in self.book.open.values()
+            if sum(b - a for a, b, _ in job.record.ranges) < job.record.tasks
+        ]
+        # In the order of starts: what is planned first gets the room.
+        waiting.sort(key=lambda job: (
+            not self.late(job), _RANK[job.spec.rank], not self._under(job.spec),
+            self.release(job),
+        ))
+        for job in waiting:
             have = sum(b - a for a, b, _ in job.record.ranges)
             # A job may end while the write for the one before it is under way.
             if have >= job.record.tasks or token is None or not job.open:
@@ -1427,77 +1515,135 @@
     async def _assign_whole(self, job: Job, token: int) -> None:
         """A job whose tasks constrain one another: to one part, or reserved over several."""
         spec = job.spec
-        best = self._best_part(spec)
-        if best is not None:
-            ranges = [(0, spec.tasks, best)]
-            zone = self.pick_zone(spec, ranges)
-            if zone is not None or not spec.one_zone or spec.tasks == 1:
-                await self._write_ranges(job, {"pt/parts/0": token}, ranges, zone=zone,
-                                         attempt=0, caps=[])
-                return
-        if spec.kind != wire.GANG:
-            return
-        for yielding in (False, True):
-            plan = self.reserve(spec, yielding=yielding)
-            if plan is None:
+        plan: Plan | None = None
+        if spec.kind == wire.GANG:
+            plan = self.plan_gang(spec, token)
+            if plan is None and (
+                spec.tasks == 1 or self.late(job) or self.limit_left(spec) < spec.tasks
+            ):
+                # Somewhere it must wait: room is kept there, or share gathered.
+                plan = self._by_capacity(spec)
+        else:
+            best = self._best_part(spec)
+            if best is not None:
+                ranges = [(0, spec.tasks, best)]
+                zone = self.pick_zone(spec, ranges)
+                if zone is not None or not spec.one_zone or spec.tasks == 1:
+                    plan = Plan(ranges, zone)
+        if plan is not None:
+            await self._write_ranges(job, {"pt/parts/0": token}, plan.ranges, zone=plan.zone,
+                                     attempt=plan.attempt, caps=plan.caps)
+
+    def late(self, job: Job) -> bool:
+        """Whether a job has waited so long that room must be kept for it."""
+        waited = trio.current_time() - self.release(job)
+        return waited > self.policy.start_within / 4
+
+    def plan_gang(self, spec: wire.JobSpec, token: int) -> Plan | None:
+        """Room for a whole gang: in one part if one has it, else over several.
+
+        Over several parts all start the same attempt; its number rests on a token of
+        this node, so nobody else ever uses it.
+        """
+        if self.limit_left(spec) < spec.tasks:
+            return None
+        now = trio.current_time()
+        self.booked = [row for row in self.booked if now - row[0] < self.policy.beat * 3]
+        under = self._under(spec)
+        modes = [FREE]
+        if spec.rank != wire.RANKS[-1]:
+            modes.append(YIELDING)
+        if under and len(self.teams) > 1:
+            modes.append(OVER)
+        for mode in modes:
+            rooms = self._rooms(spec, mode)
+            found = plan_rooms(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
+            if found is None:
                 continue
-            self.counter += 1
-            attempt = (token << 24) + (1 << 23) + self.counter
-            ranges, caps, first = [], [], 0
-            zones = {zone for _, zone in plan}
-            for part in sorted({p for p, _ in plan}):
-                n = sum(count for (p, _), count in plan.items() if p == part)
+            for key, count in found.items():
+                self.booked.append((now, key, need_of(spec), count))
+            parts = sorted({part for part, _ in found})
+            ranges, first = [], 0
+            for part in parts:
+                n = sum(count for (p, _), count in found.items() if p == part)
                 ranges.append((first, first + n, part))
                 first += n
-            if spec.spread:
-                caps = [(p, zone, n) for (p, zone), n in plan.items()]
-            zone = zones.pop() if spec.one_zone else None
-            log.info("reserved gang=%s parts=%d attempt=%d", job.id, len(ranges), attempt)
-            await self._write_ranges(job, {"pt/parts/0": token}, ranges, zone=zone,
-                                     attempt=attempt, caps=caps)
-            return
+            attempt = 0
+            if len(parts) > 1:
+                self.counter += 1
+                attempt = (token << 24) + (1 << 23) + self.counter
+            zones = {zone for _, zone in found}
+            log.info("gang planned job=%s parts=%d attempt=%d mode=%d", spec.id, len(parts),
+                     attempt, mode)
+            return Plan(
+                ranges, zones.pop() if spec.one_zone else None, attempt,
+                [(p, zone, n) for (p, zone), n in found.items()]
+                if spec.spread and len(parts) > 1 else [],
+            )
+        return None
 
-    def reserve(
-        self, spec: wire.JobSpec, *, yielding: bool
-    ) -> dict[tuple[int, str], int] | None:
-        """Room for a whole gang over several parts: tasks per part and zone, or None."""
+    def _by_capacity(self, spec: wire.JobSpec) -> Plan | None:
+        """The part whose machines, were they empty, hold the gang best: it keeps room."""
+        best = self._best_part(spec)
+        if best is None:
+            return None
+        ranges = [(0, spec.tasks, best)]
+        zone = self.pick_zone(spec, ranges)
+        if zone is None and spec.one_zone and spec.tasks > 1:
+            return None
+        log.info("gang waits for room job=%s part=%d zone=%s", spec.id, best, zone)
+        return Plan(ranges, zone)
+
+    def _rooms(self, spec: wire.JobSpec, mode: int) -> dict[tuple[int, str], int]:
+        """Tasks that each part could start in each zone, less what was booked just now."""
+        need = need_of(spec)
         rooms: dict[tuple[int, str], int] = {}
         for note in self.notes.values():
             for machine in note.machines:
                 kind = self.types().get(machine.type)
                 if machine.flag or kind is None:
                     continue
-                if not self._group_ok(spec, kind, machine.zone, machine.spot):
+                a, b, c = machine.free
+                if mode >= YIELDING and machine.name not in note.kept:
+                    a, b, c = (x + y for x, y in zip((a, b, c), machine.yielding, strict=True))
+                    if mode >= OVER:
+                        a, b, c = (x + y for x, y in zip((a, b, c), machine.over, strict=True))
+                if not fits(need, (a, b, c)):
                     continue
-                room: tuple[float, ...] = machine.free
-                if yielding:
-                    room = tuple(
-                        a + b for a, b in zip(machine.free, machine.yielding, strict=True)
-                    )
-                n = times(need_of(spec), room)
-                if n:
+                if self._group_ok(spec, kind, machine.zone, machine.spot):
                     key = (note.part, machine.zone)
-                    rooms[key] = rooms.get(key, 0) + n
-        return plan_rooms(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
+                    rooms[key] = rooms.get(key, 0) + times(need, (a, b, c))
+        for _, key, (a, b, c), count in self.booked:
+            if key in rooms:
+                share = max((x / y for x, y in zip((a, b, c), need, strict=True) if y), default=0)
+                rooms[key] = max(0, rooms[key] - math.ceil(count * min(1.0, share)))
+        return rooms
 
     async def _return_whole(self) -> None:
         """A whole job that can't start here goes back to the leader, for a fresh look."""
         now = trio.current_time()
-        limit = self.settings.deployment.workers.gang_wait_s
+        limit = self.settings.deployment.workers.gang_wait_s / 2
         for part, work in list(self.parts.items()):
             token = self.members.token(part)
             if not work.settled or token is None:
                 continue
             for holding in list(work.holdings.values()):
                 job = holding.job
-                if not job.open or not whole(job.spec) or holding.placed or holding.moving:
+                if not job.open or not whole(job.spec) or holding.moving:
+                    continue
+                if holding.placed:
+                    if job.record.attempt and not covered(job):
+                        # Another part gave up: this attempt can never be complete.
+                        for placement in list(holding.placed.values()):
+                            self.workers.stop(placement, job.spec.save)
                     continue
                 if not holding.ranges or job.finished.count or job.local:
                     continue
                 failed = job.record.attempt and (
                     holding.tried == job.record.attempt or not covered(job)
                 )
-                if not failed and now - holding.since < limit:
+                patience = limit * (4 if self._kept_for(part, job.id) else 1)
+                if not failed and now - holding.since < patience:
                     continue
                 holding.since = now
                 holding.moving = True
@@ -1513,6 +1659,11 @@
                         self._hold(job, part)
                         holding.rebuild()
 
+    def _kept_for(self, part: int, id: str) -> bool:
+        now = trio.current_time()
+        return any(m.reserved and m.reserved[0] == id and m.reserved[1] >= now
+                   for m in self.workers.of_part(part))
+
     async def _read_back(self, error: StoreDown) -> None:
         """After a commit without an answer, nothing goes on until the store has told."""
         while error.unknown:
@@ -1530,6 +1681,12 @@
         **more: Any,
     ) -> bool:
         key = f"pt/jobs/{job.id}"
+        # Our copy applies our own writes ahead of the watch: a part of ours that was
+        # taken over meanwhile must not be given tasks that its new owner starts too.
+        for _, _, part in ranges:
+            token = self.members.token(part)
+            if token is not None:
+                guard[f"pt/parts/{part}"] = token
         record = msgspec.structs.replace(job.record, ranges=ranges, **more)
         if not job.chunked:
             record.finished = job.finished.text()
@@ -1646,11 +1803,13 @@
                     there, _ = self.drain_time(other, spec)
                     if best is None or there < best[0]:
                         best = (there, other.part)
-                if best is None or here < best[0] * 1.25 + self.report_s * 2:
+                if best is None or here <= best[0] * 1.25 + self.report_s * 2:
                     continue
                 amount = spec.gpus if spec.gpus > 0 else spec.cpus
                 task = max(1e-6, amount * self.estimates.task(spec))
-                count = min(holding.pool.count, int((here - best[0]) / 2 * width / task))
+                count = holding.pool.count  # all, where no machine here may run it
+                if width:
+                    count = min(count, int((here - best[0]) / 2 * width / task))
                 if count > 0:
                     await self._give(holding, best[1], count)
                     break
@@ -1821,21 +1980,27 @@
         renew = now - self.matrix_at >= self.policy.period
         if renew:
             self.matrix_at = now
+        beyond = set()
+        if len(self.teams) > 1:
+            beyond = {t for t in self.teams if self._over_guarantee(t)}
         for part, work in self.parts.items():
             if renew:
                 self._log_load(part, work)
             old = self.notes.get(part)
             machines = []
+            kept: list[str] = []
             for machine in self.workers.of_part(part):
                 free = machine.free() if machine.usable else (0.0, 0.0, 0.0)
                 if machine.reserved and machine.reserved[1] >= now:
                     free = (0.0, 0.0, 0.0)
                 a, b, c = machine.yielding[-1]
+                if machine.reserved and machine.reserved[1] >= now:
+                    kept.append(machine.name)
                 machines.append(MachineNote(
                     machine.name, machine.type, machine.zone, machine.spot,
                     (max(0.0, free[0]), max(0.0, free[1]), max(0.0, free[2])), (a, b, c),
                     len(machine.placements), now - machine.idle_since,
-                    self._flag(machine, now), machine.slow,
+                    self._flag(machine, now), machine.slow, self._over_on(machine, beyond),
                 ))
             waiting: dict[str, int] = {}
             running: dict[str, int] = {}
@@ -1851,6 +2016,7 @@
             note = PartNote(part, hold.token if hold else 0, work.settled, queued,
                             0.0, machines, [], waiting)
             note.running = running
+            note.kept = kept
             note.reserved = [
                 m.reserved[0] for m in self.workers.of_part(part)
                 if m.reserved and m.reserved[1] >= now
@@ -1872,6 +2038,17 @@
         self._find_hungry()
         return trio.current_time() - at
 
+    def _over_on(self, machine: Machine, beyond: set[str]) -> Need:
+        """Held by teams beyond their guarantee, apart from what yields anyway."""
+        a = b = c = 0.0
+        if beyond:
+            last = len(wire.RANKS) - 1
+            for placement in machine.placements.values():
+                if placement.team in beyond and placement.rank != last:
+                    x, y, z = placement.need
+                    a, b, c = a + x, b + y, c + z
+        return (a, b, c)
+
     def _log_load(self, part: int, work: PartWork) -> None:
         """What is free and what waits, for people who read logs."""
         rooms: dict[str, list[float]] = {}
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -96,6 +96,8 @@
             raise StoreDown(str(error), unknown=True) from None
         if response.status == 429:
             self.requests.penalty()
+            if method == "POST" and target == "/commit":
+                self.writes.penalty()
             raise StoreDown("over its limit")
         if response.status >= 500:
             self._failed(sent)
--- a/pitchtally/tokens.py
+++ b/pitchtally/tokens.py
@@ -49,7 +49,7 @@
         self._level = min(self._level, 0.0) - amount
 
     async def take(self, priority: int, amount: float = 1.0) -> None:
-        amount = min(amount, self.burst)
+        # More than a burst at once is paid for afterwards: those that follow wait longer.
         least = min(self.burst, amount + (self.burst * _KEPT if priority >= PROGRESS else 0.0))
         self._count += 1
         entry = (priority, self._count, amount)
