Tests of the added rules; gangs over parts start when every part has its room

The gang over parts kept ending as incomplete where one part started early: parts now tell that their room is kept. A job without a start for half of what users bear goes first (`start_within`), and room is kept for such a gang.

--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -82,6 +82,7 @@
     reserved: list[str] = []  # jobs that a machine is kept free for
     running: dict[str, int] = {}  # job -> tasks running
     kept: list[str] = []  # machines kept free
+    ready: list[str] = []  # gangs over several parts that have their room here
     use: dict[str, tuple[float, float]] = {}  # team -> CPUs and GPUs in use here
 
 
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -184,8 +184,9 @@
 NOBODY = Plan([])
 
 # How a gang may get its room: what is free, what lower ranks hold as well, and what
-# teams beyond their guarantee hold as well.
-FREE, YIELDING, OVER = range(3)
+# teams beyond their guarantee hold as well; or, after a long wait, whatever comes free
+# first, kept for it meanwhile.
+FREE, YIELDING, OVER, KEPT = range(4)
 
 
 class Step(NamedTuple):
@@ -221,6 +222,7 @@
         self.queues: dict[Group, dict[str, int]] = {}  # like machines -> job -> tasks
         self.crowds: dict[Group, Crowd] = {}
         self.running: list[int] = [0] * len(wire.RANKS)  # tasks on machines, by rank
+        self.ready: set[str] = set()  # gangs over several parts that have their room here
         self.early: list[Placement] = []  # seen on machines before the part settled
 
 
@@ -280,6 +282,8 @@
         self.rooms: dict[int, dict[tuple[object, ...], int]] = {}  # see `_room`
         self.balanced_at = -1e9
         # Room promised to gangs that notes can't show yet: (at, (part, zone), need, tasks).
+        self.keeping: tuple[str, float] | None = None  # the gang that waits for kept room
+        self.noted_at: dict[int, float] = {}  # when a peer's note came
         self.booked: list[tuple[float, tuple[int, str], Need, int]] = []
         self.matrix_at = -1e9
         # S in task-seconds per task-second: from far below any real queue upward.
@@ -983,6 +987,9 @@
             holding = work.holdings[id]
             plan = self._gang_plan(holding, part, now)
             if plan is None:
+                work.ready.discard(id)
+                continue
+            if holding.job.record.attempt and not self._all_ready(work, holding, plan, now):
                 continue
             attempt = holding.job.record.attempt or self._attempt(part)
             holding.tried = attempt
@@ -992,6 +999,31 @@
                     machine.reserved = None
             holding.aged = False
 
+    def _all_ready(
+        self, work: PartWork, holding: Holding, plan: list[Machine], now: float
+    ) -> bool:
+        """Whether every part of a gang has its room; ours is kept until then.
+
+        Started part by part, a gang would occupy machines while the rest of it waits
+        for room, and end as incomplete. A part that isn't heard of late can't tell.
+        """
+        id, part = holding.job.id, holding.part
+        work.ready.add(id)
+        fresh = now - self.policy.beat * 4
+        for other in {p for _, _, p in holding.job.record.ranges if p != part}:
+            theirs = self.parts.get(other)
+            if theirs is not None:
+                ready = id in theirs.ready
+            elif self.noted_at.get(other, -1e9) < fresh or other not in self.notes:
+                ready = True
+            else:
+                ready = id in self.notes[other].ready
+            if not ready:
+                for machine in plan:
+                    machine.reserved = (id, now + self.policy.beat * 4)
+                return False
+        return True
+
     def _gang_plan(self, holding: Holding, part: int, now: float) -> list[Machine] | None:
         """A machine for every task at once, in one zone where that is asked; or None."""
         job = holding.job
@@ -1050,7 +1082,9 @@
         wide = any((h := work.holdings.get(id)) is not None and h.spec.tasks > 1 for id in kept)
         gangs = [(h.release, id, h) for id, h in work.holdings.items() if h.gang]
         for _, id, holding in sorted(gangs, key=lambda g: g[:2]):
-            if holding.placed or id in kept or holding.job.record.attempt:
+            if holding.placed or id in kept or (
+                holding.job.record.attempt and holding.tried == holding.job.record.attempt
+            ):
                 continue
             if not self._ready(work, id, holding, now) or now - holding.since < self.report_s:
                 continue
@@ -1517,10 +1551,8 @@
         spec = job.spec
         plan: Plan | None = None
         if spec.kind == wire.GANG:
-            plan = self.plan_gang(spec, token)
-            if plan is None and (
-                spec.tasks == 1 or self.late(job) or self.limit_left(spec) < spec.tasks
-            ):
+            plan = self.plan_gang(spec, token, job)
+            if plan is None and (spec.tasks == 1 or self.limit_left(spec) < spec.tasks):
                 # Somewhere it must wait: room is kept there, or share gathered.
                 plan = self._by_capacity(spec)
         else:
@@ -1539,7 +1571,9 @@
         waited = trio.current_time() - self.release(job)
         return waited > self.policy.start_within / 4
 
-    def plan_gang(self, spec: wire.JobSpec, token: int) -> Plan | None:
+    def plan_gang(
+        self, spec: wire.JobSpec, token: int, job: Job | None = None
+    ) -> Plan | None:
         """Room for a whole gang: in one part if one has it, else over several.
 
         Over several parts all start the same attempt; its number rests on a token of
@@ -1555,6 +1589,8 @@
             modes.append(YIELDING)
         if under and len(self.teams) > 1:
             modes.append(OVER)
+        if job is not None and self.late(job) and self._may_keep(job.id, now):
+            modes.append(KEPT)
         for mode in modes:
             rooms = self._rooms(spec, mode)
             found = plan_rooms(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
@@ -1572,6 +1608,8 @@
             if len(parts) > 1:
                 self.counter += 1
                 attempt = (token << 24) + (1 << 23) + self.counter
+            if mode == KEPT:
+                self.keeping = (spec.id, now)
             zones = {zone for _, zone in found}
             log.info("gang planned job=%s parts=%d attempt=%d mode=%d", spec.id, len(parts),
                      attempt, mode)
@@ -1582,6 +1620,14 @@
             )
         return None
 
+    def _may_keep(self, id: str, now: float) -> bool:
+        """Room is kept for one gang at a time: two could each hold half of the other's."""
+        if self.keeping is None or self.keeping[0] == id:
+            return True
+        job = self.book.open.get(self.keeping[0])
+        waits = job is not None and any(job.id in n.waiting for n in self.notes.values())
+        return not waits or now - self.keeping[1] > self.policy.start_within / 4
+
     def _by_capacity(self, spec: wire.JobSpec) -> Plan | None:
         """The part whose machines, were they empty, hold the gang best: it keeps room."""
         best = self._best_part(spec)
@@ -1604,9 +1650,11 @@
                 if machine.flag or kind is None:
                     continue
                 a, b, c = machine.free
-                if mode >= YIELDING and machine.name not in note.kept:
+                if mode == KEPT and machine.name not in note.kept:
+                    a, b, c = kind.cpus, kind.gpus, kind.memory
+                elif mode in (YIELDING, OVER) and machine.name not in note.kept:
                     a, b, c = (x + y for x, y in zip((a, b, c), machine.yielding, strict=True))
-                    if mode >= OVER:
+                    if mode == OVER:
                         a, b, c = (x + y for x, y in zip((a, b, c), machine.over, strict=True))
                 if not fits(need, (a, b, c)):
                     continue
@@ -1647,6 +1695,7 @@
                     continue
                 holding.since = now
                 holding.moving = True
+                work.ready.discard(job.id)
                 try:
                     rest = [r for r in job.record.ranges if r[2] != part]
                     await self._write_ranges(job, {f"pt/parts/{part}": token}, rest,
@@ -1964,6 +2013,7 @@
             if owner != beat.node:
                 continue
             self.rooms.pop(note.part, None)
+            self.noted_at[note.part] = trio.current_time()
             old = self.notes.get(note.part)
             if not note.matrix and old is not None:
                 note.matrix = old.matrix
@@ -2017,6 +2067,11 @@
                             0.0, machines, [], waiting)
             note.running = running
             note.kept = kept
+            work.ready = {
+                id for id in work.ready
+                if (gang := work.holdings.get(id)) is not None and gang.job.record.attempt
+            }
+            note.ready = list(work.ready)
             note.reserved = [
                 m.reserved[0] for m in self.workers.of_part(part)
                 if m.reserved and m.reserved[1] >= now
--- a/standins/world.py
+++ b/standins/world.py
@@ -37,6 +37,10 @@
         if both:
             self.cuts.add((b, a))
 
+    def deafen(self, name: str) -> None:
+        """Calls by the host arrive; nothing comes back, and no call reaches it."""
+        self.cuts.add(("*", name))
+
     def heal(self) -> None:
         self.cuts.clear()
         self.late.clear()
@@ -289,6 +293,13 @@
                 self.world.rules.leave(task)
         self.tasks.clear()
 
+    def restart(self) -> None:
+        """Down and up again before anybody noticed: nothing is left, a new session."""
+        self._lose_all()
+        self.session += 1
+        self.renewed = trio.current_time()
+        self.changed.set()
+
     def vanish(self) -> None:
         self.gone = True
         self._lose_all()
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -153,6 +153,17 @@
                 self.seen_wrong.append(f"not_done {id}")
         return state
 
+    async def known(self, ids: list[str], within: float) -> None:
+        """Once all troubles are over, every node answers for every job."""
+        end = trio.current_time() + within
+        missing = {(id, node) for id in ids for node in range(len(NODES))}
+        while missing and trio.current_time() < end:
+            for id, node in sorted(missing):
+                if await self.poll(id, node) is not None:
+                    missing.discard((id, node))
+            await trio.sleep(0.5)
+        assert not missing, f"no answer for {sorted(missing)}"
+
     async def finish(self, ids: list[str], limit: float = 240.0) -> None:
         """Poll until every job is over; the rules are checked on the way."""
         end = trio.current_time() + limit
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -143,11 +143,99 @@
     await trio.sleep(15)
 
 
+async def deaf_machine(sim: Sim) -> None:
+    """Its reports arrive, but neither answers nor commands reach it."""
+    sim.network.deafen(next(iter(sim.world.workers)))
+    await trio.sleep(25)
+
+
+async def deaf_machine_and_takeover(sim: Sim) -> None:
+    sim.network.deafen(next(iter(sim.world.workers)))
+    sim.kill("n0")
+    await trio.sleep(5)
+    sim.start("n0")
+    await trio.sleep(20)
+
+
+def _copies(sim: Sim, after: float) -> None:
+    for worker in sim.world.workers:
+        for name in NODES:
+            sim.network.late[(worker, name)] = after
+
+
+async def copies_within_a_second(sim: Sim) -> None:
+    _copies(sim, 0.8)
+    await trio.sleep(15)
+
+
+async def copies_after_takeovers(sim: Sim) -> None:
+    """Copies of reports, later than a lease, at owners that never saw the originals."""
+    _copies(sim, 14.0)
+    await trio.sleep(3)
+    sim.kill("n0")
+    await trio.sleep(6)
+    sim.start("n0")
+    await trio.sleep(6)
+    sim.kill("n1")
+    await trio.sleep(2)
+    sim.start("n1")
+    await trio.sleep(10)
+
+
+async def copies_of_lost_machines(sim: Sim) -> None:
+    """Copies from machines that are gone, or whose lease is over, still come in."""
+    _copies(sim, 9.0)
+    names = list(sim.world.workers)
+    sim.network.cut("*", names[0])
+    sim.network.cut(names[0], "*")
+    await trio.sleep(2)
+    if names[1] in sim.world.workers:
+        sim.world.workers.pop(names[1]).vanish()
+    await trio.sleep(25)
+
+
+async def alone_with_workers(sim: Sim) -> None:
+    """A controller loses the store and its peers, but not its workers."""
+    for other in ("state", "n1", "n2"):
+        sim.network.cut("n0", other)
+    await trio.sleep(30)
+
+
+async def quick_restarts_in_elections(sim: Sim) -> None:
+    """Back within a fraction of a second at every step, also twice in a row."""
+    for pause in (0.05, 0.3, 0.6, 1.0, 1.7, 2.6):
+        for name in ("n0", "n0", "n2"):
+            sim.kill(name)
+            await trio.sleep(0.15)
+            sim.start(name)
+            await trio.sleep(pause)
+
+
+async def quick_restarts_of_all(sim: Sim) -> None:
+    for pause in (0.1, 0.5, 1.5, 3.0):
+        sim.kill()
+        await trio.sleep(0.1)
+        sim.start()
+        await trio.sleep(pause)
+
+
+async def machines_back_at_once(sim: Sim) -> None:
+    """Workers that begin a new session within a fraction of a second."""
+    for worker in list(sim.world.workers.values()):
+        worker.restart()
+        await trio.sleep(0.3)
+        worker.restart()
+    await trio.sleep(5)
+
+
 FAULTS: list[Fault] = [
     nothing, kill_one, kill_all, roll, quick_restart, cut_from_state, cut_from_workers,
     cut_from_peers, cut_from_all, lost_answers, late_copies, state_outage,
     state_and_cloud_outage, crash_in_outage, machine_cut, machine_dies, machine_and_owner,
-    unlisted_machine, sick_machine,
+    unlisted_machine, sick_machine, deaf_machine, deaf_machine_and_takeover,
+    copies_within_a_second, copies_after_takeovers, copies_of_lost_machines,
+    alone_with_workers, quick_restarts_in_elections, quick_restarts_of_all,
+    machines_back_at_once,
 ]
 
 
@@ -171,6 +259,7 @@
             await trio.sleep(6)
             nursery.start_soon(sim.cancel, "wk-000007")
         sim.network.heal()
+        await sim.known([spec["ref"] for spec in jobs], within=30)
         await sim.finish([spec["ref"] for spec in jobs])
         assert sim.final["wk-000007"] == "withdrawn"
         await trio.sleep(26)  # nothing of the cancelled job may be left
