Write tokens: batches no larger than a burst, waits told in full, living nodes share

Change: progress takes at most half a burst at once and is forced only after a minute (workers keep what ended), moves wait behind submissions, shares follow the number of living nodes.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -193,7 +193,9 @@
         size = 0
         for pending in list(self.waiting):
             size += len(pending.change.value or b"") + 300
-            if len(batch) >= self.store.limits.txn_ops or (batch and size > self.BYTES):
+            if len(batch) >= self.store.limits.txn_ops or (batch and (
+                size > self.BYTES or len(batch) >= self.store.writes.burst
+            )):
                 break
             # A repeat of an id goes alone, so that its condition can fail.
             if all(other.key != pending.key for other in batch):
@@ -376,10 +378,14 @@
                 return await self.poll(spec.id)
             return _error(error.status, *str(error).split(": ", 1))
         wait = max(
-            self.store.writes.wait_for(tokens.ACCEPTANCES),
+            # Those that wait for the commit under way come first.
+            self.store.writes.wait_for(
+                tokens.ACCEPTANCES, 1 + len(self.acceptances.waiting)
+            ),
             self.store.requests.wait_for(tokens.ACCEPTANCES),
         )
         if wait > self.policy.admit_wait:
+            log.info("refused job=%s cause=tokens wait=%.1f", spec.id, wait)
             return _busy("more is asked than can be written", math.ceil(wait))
         return await self._accept(spec)
 
--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -266,8 +266,9 @@
                 continue
             elif job.complete or job.flushed_at == -1e9 or (
                 # Under a flood progress comes last, but not never: workers go on
-                # reporting ended tasks until these are durable.
-                now - job.flushed_at >= self.period * 4
+                # reporting ended tasks until these are durable, a new owner too. So
+                # nothing is lost meanwhile, only reports grow.
+                now - job.flushed_at >= self.period * 12
             ):
                 urgent.append(job)
             elif now - job.flushed_at >= self.period:
@@ -276,12 +277,17 @@
 
     async def _flush(self) -> None:
         urgent, later = self._due()
-        for jobs, priority in ((urgent, tokens.COMPLETIONS), (later, tokens.PROGRESS)):
+        burst = self.store.writes.burst
+        for jobs, priority, most in (
+            (urgent, tokens.COMPLETIONS, burst),
+            # Progress takes no more at once than leaves the next submission its tokens.
+            (later, tokens.PROGRESS, burst / 2),
+        ):
             batch: list[Job] = []
             size = 0
             for job in jobs:
                 cost = len(list(self._changes(job)))
-                if batch and size + cost > self.store.limits.txn_ops:
+                if batch and size + cost > min(self.store.limits.txn_ops, most):
                     await self._write(batch, priority)
                     batch, size = [], 0
                 batch.append(job)
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -182,6 +182,8 @@
             self.alive.pop(name, None)
         else:
             self.alive[name] = msgspec.json.decode(value, type=Node)
+        # A node that is starting isn't listed yet, so at least one is left for it.
+        self.store.share_among(min(len(self.nodes), len(self.alive) + 1))
         self.wake.set()
 
     def _announce(self, part: int) -> None:
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -1736,11 +1736,13 @@
             token = self.members.token(part)
             if token is not None:
                 guard[f"pt/parts/{part}"] = token
+        # Moves are for the better, assignments for going at all.
+        priority = tokens.PROGRESS if covered(job) and not more else tokens.ACCEPTANCES
         record = msgspec.structs.replace(job.record, ranges=ranges, **more)
         if not job.chunked:
             record.finished = job.finished.text()
         return await self.book.commit(
-            {key: job.version, **guard}, [Write(key, encode(record))], priority=tokens.ACCEPTANCES
+            {key: job.version, **guard}, [Write(key, encode(record))], priority=priority
         )
 
     async def _rebalance(self) -> None:
--- a/pitchtally/policy.py
+++ b/pitchtally/policy.py
@@ -31,7 +31,7 @@
     "call_timeout": ("workers.lease_s / 10", 0.05, 60, "longest wait for state service or peer"),
     "cloud_timeout": ("workers.lease_s / 3", 0.1, 120, "longest wait for the cloud"),
     "watch_share": ("0.25", 0.01, 0.9, "share of the state requests that watching may use"),
-    "admit_wait": ("0.5", 0, 4, "longest wait for a write token before a submission gets 503"),
+    "admit_wait": ("0.75", 0, 4, "longest wait for a write token before a submission gets 503"),
     "silence": ("workers.lease_s * 1.25", 0.1, 3600, "silent this long, a machine is given up"),
     "blind": ("(workers.cancel_s - workers.lease_s) * 0.6", 0.1, 3600,
               "an owner that may be missing cancellations this long stops renewing leases"),
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -75,6 +75,12 @@
         self.answered_at = -1e9
         self.failing_since: float | None = None
 
+    def share_among(self, nodes: int) -> None:
+        """The limits are for all nodes together: those that live share them."""
+        share = 0.9 / max(1, nodes)
+        self.requests.resize(self.limits.rps * share)
+        self.writes.resize(self.limits.write_rps * share)
+
     async def _call(
         self,
         method: str,
--- a/pitchtally/tokens.py
+++ b/pitchtally/tokens.py
@@ -37,6 +37,11 @@
         self._level = min(self.burst, self._level + (now - self._at) * self.rate)
         self._at = now
 
+    def resize(self, rate: float) -> None:
+        self._fill()
+        self.rate = rate
+        self.burst = max(1.0, rate)
+
     def wait_for(self, priority: int, amount: float = 1.0) -> float:
         """Seconds until a call of this priority could go, as things stand."""
         self._fill()
