Gangs not planned on other gangs' room; a lost result of a finished gang is fetched alone

A gang over parts of which one machine died at its end never ran its last task again (test machine_dies). Change: gangs never yield to gangs of equal rank; a part gives a gang back at once when its room went; stragglers of a finished gang start alone; several machines may be freed for an array at once; a task so large that small ones always take its room gets a machine kept.

--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -58,6 +58,10 @@
     return spec.kind == wire.GANG or (spec.tasks > 1 and (spec.one_zone or spec.spread))
 
 
+def _gang(placement: Placement) -> bool:
+    return placement.spec.kind == wire.GANG
+
+
 def covered(job: Job) -> bool:
     return sum(b - a for a, b, _ in job.record.ranges) >= job.record.tasks
 
@@ -896,6 +900,8 @@
                     holding.better[group] = max(0, holding.better[group] - limit)
                 if holding.aged:
                     holding.aged = False  # it has begun: others' turn
+                    if machine.reserved and machine.reserved[0] == id:
+                        machine.reserved = None
                 if not holding.pool.count:
                     machine.reserved = None
 
@@ -977,7 +983,11 @@
                 continue
             if holding.placed:
                 continue
-            if job.record.attempt:
+            if job.finished.count or job.local:
+                # One done means all done: what was lost with its machine has its result
+                # kept, and ends as soon as it is started again.
+                pass
+            elif job.record.attempt:
                 if holding.tried == job.record.attempt or not covered(job):
                     continue
             elif holding.pool.count < job.spec.tasks - job.finished.count - len(job.local):
@@ -989,9 +999,13 @@
             if plan is None:
                 work.ready.discard(id)
                 continue
-            if holding.job.record.attempt and not self._all_ready(work, holding, plan, now):
+            job = holding.job
+            shared = job.record.attempt
+            if job.finished.count or job.local:
+                shared = 0
+            if shared and not self._all_ready(work, holding, plan, now):
                 continue
-            attempt = holding.job.record.attempt or self._attempt(part)
+            attempt = shared or self._attempt(part)
             holding.tried = attempt
             for machine in plan:
                 self._place(holding, holding.pool.pop(), machine, attempt)
@@ -1080,15 +1094,16 @@
         machines = [m for m in self.workers.of_part(part) if m.usable and m.resting_until < now]
         kept = {m.reserved[0] for m in machines if m.reserved and m.reserved[1] >= now}
         wide = any((h := work.holdings.get(id)) is not None and h.spec.tasks > 1 for id in kept)
-        gangs = [(h.release, id, h) for id, h in work.holdings.items() if h.gang]
-        for _, id, holding in sorted(gangs, key=lambda g: g[:2]):
+        # Also for a task so large that small ones always take what frees up first.
+        waiting = [(h.release, id, h) for id, h in work.holdings.items() if h.gang or h.aged]
+        for _, id, holding in sorted(waiting, key=lambda r: r[:2]):
             if holding.placed or id in kept or (
                 holding.job.record.attempt and holding.tried == holding.job.record.attempt
             ):
                 continue
             if not self._ready(work, id, holding, now) or now - holding.since < self.report_s:
                 continue
-            wanted = holding.pool.count
+            wanted = holding.pool.count if holding.gang else 1
             if wanted > 1 and (wide or not self.late(holding.job)):
                 continue
             rows = []
@@ -1202,9 +1217,6 @@
                 chosen.append(step)
             if holding.gang and len(chosen) < wanted:
                 continue  # stopping some would gain nothing
-            if not holding.gang:
-                # One machine at a time: estimates of room are rough.
-                chosen = [c for c in chosen if c.machine is chosen[0].machine]
             victims = [v for step in chosen for v in step.victims]
             if not victims:
                 continue
@@ -1256,7 +1268,11 @@
                     continue
                 spec = placement.spec
                 lower = placement.rank > rank
-                if not lower and not (under and self._beyond(spec, holding.spec.team)):
+                if not lower and (
+                    # One gang for another of equal rank would gain nothing.
+                    _gang(placement)
+                    or not (under and self._beyond(spec, holding.spec.team))
+                ):
                     continue
                 candidates.append((self._loss(placement, now), placement.key, placement))
             candidates.sort(key=lambda c: c[:2], reverse=True)
@@ -1477,7 +1493,8 @@
             with trio.move_on_after(self.report_s / 4):
                 await self.wake.wait()
             self.wake = trio.Event()
-            await trio.sleep(0.05)
+            # Starts travel with reports: planning much more often than these come is idle.
+            await trio.sleep(self.report_s / 10)
             try:
                 spent = 0.0
                 for part, work in list(self.parts.items()):
@@ -1625,7 +1642,7 @@
         if self.keeping is None or self.keeping[0] == id:
             return True
         job = self.book.open.get(self.keeping[0])
-        waits = job is not None and any(job.id in n.waiting for n in self.notes.values())
+        waits = job is not None and not any(job.id in n.running for n in self.notes.values())
         return not waits or now - self.keeping[1] > self.policy.start_within / 4
 
     def _by_capacity(self, spec: wire.JobSpec) -> Plan | None:
@@ -1690,7 +1707,14 @@
                 failed = job.record.attempt and (
                     holding.tried == job.record.attempt or not covered(job)
                 )
-                patience = limit * (4 if self._kept_for(part, job.id) else 1)
+                patience = limit
+                if self._kept_for(part, job.id):
+                    patience = limit * 4
+                elif holding.gang and not self.late(job) and job.id not in work.ready and (
+                    self.limit_left(job.spec) >= job.spec.tasks
+                ):
+                    # What it was planned on went to others: look elsewhere at once.
+                    patience = self.report_s * 2
                 if not failed and now - holding.since < patience:
                     continue
                 holding.since = now
@@ -2101,7 +2125,7 @@
         if beyond:
             last = len(wire.RANKS) - 1
             for placement in machine.placements.values():
-                if placement.team in beyond and placement.rank != last:
+                if placement.team in beyond and placement.rank != last and not _gang(placement):
                     x, y, z = placement.need
                     a, b, c = a + x, b + y, c + z
         return (a, b, c)
