Only writes that end a job come before submissions

A conflict also lost the mark of what other parts waited for. Change: completions first, what other parts wait for in line with submissions, the rest last.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -160,6 +160,7 @@
         self.change = change
         self.conditions = conditions
         self.over = trio.Event()
+        self.sent_at = 0.0  # when its commit had its tokens
         self.revision: int | None = None
         self.failed: list[str] = []
         self.cause = ""
@@ -221,8 +222,12 @@
         for pending in batch:
             conditions.update(pending.conditions)
         try:
+            def sent() -> None:
+                for pending in batch:
+                    pending.sent_at = trio.current_time()
+
             revision = await self.store.commit(
-                conditions, [p.change for p in batch], priority=tokens.ACCEPTANCES
+                conditions, [p.change for p in batch], priority=tokens.ACCEPTANCES, on_sent=sent
             )
         except Conflict as conflict:
             failed = set(conflict.failed)
@@ -414,7 +419,12 @@
         if len(change.value or b"") > self.store.limits.value_kb * 1024:
             return _error(400, "body", "too large to keep")
         pending = Pending(key, change, conditions)
+        at = trio.current_time()
         await self.acceptances.commit(pending)
+        took = trio.current_time() - at
+        if took > self.policy.admit_wait:
+            log.info("slow acceptance job=%s took=%.2f tokens=%.2f behind=%d", spec.id, took,
+                     pending.sent_at - at, len(self.acceptances.waiting))
         if key in pending.failed:
             return await self.poll(spec.id)
         if pending.failed:
--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -81,7 +81,7 @@
 class Job:
     """One job as this node knows it."""
 
-    __slots__ = ("chunk", "finished", "flushed_at", "id", "local", "record", "version")
+    __slots__ = ("awaited", "chunk", "finished", "flushed_at", "id", "local", "record", "version")
 
     def __init__(self, id: str, record: Record, version: int, chunk: int):
         self.id = id
@@ -90,7 +90,8 @@
         self.chunk = chunk  # tasks in one chunk of the finished set
         self.finished = Bits(record.tasks if record.stage == OPEN else 0)  # durable
         self.local: set[int] = set()  # finished, known here, not durable yet
-        self.flushed_at = -1e9
+        self.flushed_at = trio.current_time()
+        self.awaited = False  # others wait for what is known here
 
     @property
     def spec(self) -> wire.JobSpec:
@@ -202,7 +203,7 @@
         job.local.add(task)
         self.dirty.add(job.id)
         if urgent or job.complete:
-            job.flushed_at = -1e9
+            job.awaited = True
             self.wake.set()
 
     # --- writing -----------------------------------------------------------
@@ -254,9 +255,10 @@
                 log.debug("progress not written: %s", error)
                 await trio.sleep(0.25)
 
-    def _due(self) -> tuple[list[Job], list[Job]]:
+    def _due(self) -> tuple[list[Job], list[Job], list[Job]]:
+        """Jobs to write: those that are over, what other parts wait for, the rest."""
         now = trio.current_time()
-        urgent, later = [], []
+        over, urgent, later = [], [], []
         for id in list(self.dirty):
             job = self.jobs[id]
             if not job.open or not (job.local or job.complete):
@@ -264,7 +266,9 @@
             elif self.writable_part(job) is None:
                 # Another owner will learn of these tasks from the workers' reports.
                 continue
-            elif job.complete or job.flushed_at == -1e9 or (
+            elif job.complete:
+                over.append(job)
+            elif job.awaited or (
                 # Under a flood progress comes last, but not never: workers go on
                 # reporting ended tasks until these are durable, a new owner too. So
                 # nothing is lost meanwhile, only reports grow.
@@ -273,13 +277,14 @@
                 urgent.append(job)
             elif now - job.flushed_at >= self.period:
                 later.append(job)
-        return urgent, later
+        return over, urgent, later
 
     async def _flush(self) -> None:
-        urgent, later = self._due()
+        over, urgent, later = self._due()
         burst = self.store.writes.burst
         for jobs, priority, most in (
-            (urgent, tokens.COMPLETIONS, burst),
+            (over, tokens.COMPLETIONS, burst),
+            (urgent, tokens.ACCEPTANCES, burst / 2),
             # Progress takes no more at once than leaves the next submission its tokens.
             (later, tokens.PROGRESS, burst / 2),
         ):
@@ -317,6 +322,7 @@
         now = trio.current_time()
         for job in kept:
             job.flushed_at = now
+            job.awaited = False
 
     async def commit(
         self, conditions: dict[str, int], changes: list[Write], *, priority: int
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -139,7 +139,12 @@
         return self._decode(_page, body)
 
     async def commit(
-        self, conditions: dict[str, int], changes: Sequence[Write], *, priority: int
+        self,
+        conditions: dict[str, int],
+        changes: Sequence[Write],
+        *,
+        priority: int,
+        on_sent: Callable[[], None] | None = None,
     ) -> int:
         """Commit and return the revision; raises Conflict, NoLease or StoreDown."""
         puts: list[wire.Put | wire.Delete] = []
@@ -153,6 +158,8 @@
         )
         if changes:
             await self.writes.take(priority, len(changes))
+        if on_sent is not None:
+            on_sent()
         status, answer = await self._call("POST", "/commit", body, priority=priority)
         if status == 200:
             return self._decode(_revision, answer).revision
