A gang that its team's limit holds up comes before its team's arrays

Ruled out: room (13 large machines with ten free places while eight tasks waited). Change: such a gang stays with the leader, every part leaves arrays of its team back until the limit has place for it; machines are kept only for a gang whose share is there, half a minute ahead.

--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -318,7 +318,8 @@
             kept.append(job)
         if not kept:
             return
-        await self.commit(conditions, changes, priority=priority)
+        if not await self.commit(conditions, changes, priority=priority):
+            return  # whoever waits for it still does
         now = trio.current_time()
         for job in kept:
             job.flushed_at = now
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -542,11 +542,25 @@
         job, first = self.book.open.get(spec.id), self.book.open.get(gang[2])
         if job is None or first is None or _RANK[spec.rank] < _RANK[first.spec.rank]:
             return False
-        return gang[0] <= self.due(job, 1.0)
+        # The gang's stretch deadline is far off for its size, while it needs little of
+        # the limit, and only once: after a few reports it comes first.
+        waited = trio.current_time() - self.release(first)
+        return waited > self.report_s * 4 or gang[0] <= self.due(job, 1.0)
 
     def _find_hungry(self) -> None:
         """For each limited team, the first gang that has room on machines but no share."""
         self.hungry.clear()
+        limited = {team for team in self.teams if self._limited(team)}
+        for gang in self.book.open.values() if limited else ():
+            # Not assigned yet, since the limit has no place for all of it.
+            team = gang.spec.team
+            if (
+                gang.spec.kind == wire.GANG and not gang.record.ranges
+                and team in limited and self.limit_left(gang.spec) < gang.spec.tasks
+            ):
+                row = (self.due(gang, 1.0), -1, gang.id)
+                if team not in self.hungry or row < self.hungry[team]:
+                    self.hungry[team] = row
         for note in self.notes.values():
             for id, count in note.waiting.items():
                 job = self.book.open.get(id)
@@ -1122,8 +1136,10 @@
                 continue
             eta = chosen[-1][0]
             if wanted > 1:
-                if eta > self.policy.start_within / 4:
+                if eta > self.policy.start_within / 8:
                     continue
+                if self._team_room(part, holding.spec) < wanted:
+                    continue  # its team's limit is what it waits for
                 wide = True
             for machine in {row[1]: row[3] for row in chosen}.values():
                 machine.reserved = (id, now + eta * 1.5 + self.report_s * 3)
@@ -1569,8 +1585,8 @@
         plan: Plan | None = None
         if spec.kind == wire.GANG:
             plan = self.plan_gang(spec, token, job)
-            if plan is None and (spec.tasks == 1 or self.limit_left(spec) < spec.tasks):
-                # Somewhere it must wait: room is kept there, or share gathered.
+            if plan is None and spec.tasks == 1 and self.limit_left(spec):
+                # It needs one machine, and that can be kept for it.
                 plan = self._by_capacity(spec)
         else:
             best = self._best_part(spec)
