Hires of as many machines as are needed; a waiting gang leaves the rest of its team's limit free

And while a gang waited for its team's limit all arrays of the team stood still, in a state outage for as long as it lasted. Change: up to the protocol's 50 in a hire; parts leave only the gang's own need of the limit.

--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -30,6 +30,10 @@
 encode = msgspec.json.encode
 
 
+# The protocol's most machines in one hire.
+HIRE_MOST = 50
+
+
 class CloudDown(Exception):
     pass
 
@@ -514,7 +518,7 @@
             short = min(seconds / patience - slots, total, allowed - free - coming)
             if short <= 0:
                 continue
-            count = max(1, min(int(short / fit + 0.999), 4))
+            count = max(1, min(int(short / fit + 0.999), HIRE_MOST))
             return group, count
         return None
 
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -68,10 +68,21 @@
             return 1_000_000
         if not self.split.parts.work[part].settled:
             return 0  # unheard machines may hold the team's tasks
-        if self.held_back(spec):
-            return 0
         share, used = self.share(part, spec.team), self.use(part, spec.team)
-        return times((spec.cpus, spec.gpus, 0.0), (share[0] - used[0], share[1] - used[1], 1.0))
+        cpus, gpus = share[0] - used[0], share[1] - used[1]
+        if self.held_back(spec):
+            # The gang's part leaves all that it needs, any other as much of that as it
+            # holds of the limit; the rest goes on, for a gang may wait long for shares
+            # to move in an outage.
+            _, place, id = self.hungry[spec.team]
+            gang, team = self.book.open[id].spec, self.known[spec.team]
+            if team.cpus_max:
+                part_of = 1.0 if place == part else share[0] / team.cpus_max
+                cpus -= gang.cpus * gang.tasks * part_of
+            if team.gpus_max:
+                part_of = 1.0 if place == part else share[1] / team.gpus_max
+                gpus -= gang.gpus * gang.tasks * part_of
+        return times((spec.cpus, spec.gpus, 0.0), (cpus, gpus, 1.0))
 
     def held_back(self, spec: wire.JobSpec) -> bool:
         """Whether a gang of the team comes first and can't gather enough of its limit.
