--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -67,6 +67,7 @@
         self.release = release  # acceptance on this node's steady clock
         self.size = 0.0  # w, and what lateness adds: renewed with each survey
         self.late = 0.0
+        self.bound = 1e9  # seconds from release, see `Order.bound`
         self.aged = False  # has waited too long for its first start, or the next
         self.groups: dict[Group, bool] = {}  # machines that the job allows
         self.better: dict[Group, int] = {}  # see `_better_room`
--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,10 @@
 log = logging.getLogger("order")
 
 
+# An aim for at least this share of a class is a deadline for each of its jobs.
+STRICT = 0.95
+
+
 class Order(Slice):
     """Who comes first: stretch deadlines, ranks, guarantees, aims, and long waits."""
 
@@ -52,9 +57,24 @@
     def due(self, job: Job, level: float) -> float:
         release = self.release(job)
         due = stretch.deadline(release, self.size(job.spec), level)
-        if job.spec.deadline is not None:
-            due = min(due, release + job.spec.deadline)
-        return due + self.lateness(job, release)
+        return min(due, release + self.bound(job.spec)) + self.lateness(job, release)
+
+    def bound(self, spec: wire.JobSpec) -> float:
+        """Seconds from release by which tasks must have begun, whatever the stretch says.
+
+        The owner's deadline, and an aim that lets hardly any job miss it. By stretch
+        the widest jobs of a class wait longest in a flood, and are the ones to miss; an
+        aim that lets many miss is served best just so, and doesn't count here.
+        """
+        task = self.split.estimates.task(spec)
+        found = [math.inf if spec.deadline is None else spec.deadline]
+        found.extend(
+            aim.within_s - task
+            for aim in self.settings.deployment.objectives
+            if aim.kind == "finished" and aim.job_class == spec.job_class
+            and aim.within_s is not None and (aim.share or 0.0) >= STRICT
+        )
+        return max(0.0, min(found))
 
     def renew(self, holding: Holding) -> None:
         """What the order needs of a job and changes slowly: once a survey."""
@@ -62,6 +82,7 @@
         job = holding.job
         holding.size = self.size(holding.spec)
         holding.late = self.lateness(job, holding.release)
+        holding.bound = self.bound(holding.spec)
         holding.better.clear()
         begun = bool(holding.placed) or job.finished.count > 0 or bool(job.local)
         waits_since = holding.since if begun else min(holding.since, holding.release)
@@ -70,9 +91,7 @@
     def due_of(self, holding: Holding, level: float) -> float:
         """`due`, from what the last survey found."""
         due = stretch.deadline(holding.release, holding.size, level)
-        if holding.spec.deadline is not None:
-            due = min(due, holding.release + holding.spec.deadline)
-        return due + holding.late
+        return min(due, holding.release + holding.bound) + holding.late
 
     def key(self, holding: Holding, level: float) -> tuple[int, bool, float]:
         """Rank, then guarantee, then deadline; first of all who waits since too long.
