--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -166,7 +166,9 @@
         now = trio.current_time()
         machines = [m for m in self.workers.of_part(part) if m.usable and m.resting_until < now]
         kept = {m.reserved[0] for m in machines if m.reserved and m.reserved[1] >= now}
-        wide = any((h := work.holdings.get(id)) is not None and h.spec.tasks > 1 for id in kept)
+        held = [h for id in kept if (h := work.holdings.get(id)) is not None]
+        wide = any(h.gang and h.spec.tasks > 1 for h in held)
+        large = any(not h.gang and h.aged for h in held)
         # Also for a task so large that small ones always take what frees up first.
         waiting = [(h.release, id, h) for id, h in work.holdings.items() if h.gang or h.aged]
         for _, id, holding in sorted(waiting, key=lambda r: r[:2]):
@@ -184,6 +186,8 @@
             wanted = holding.pool.count if holding.gang else 1
             if wanted > 1 and (wide or not self.split.order.late(holding.job)):
                 continue
+            if not holding.gang and (large or not self.split.teams.room(part, holding.spec)):
+                continue  # in a flood beyond the limit every array has waited long
             rows = []
             for machine in machines:
                 if machine.reserved and machine.reserved[1] >= now:
@@ -205,6 +209,7 @@
                 if self.split.teams.room(part, holding.spec) < wanted:
                     continue  # its team's limit is what it waits for
                 wide = True
+            large = large or not holding.gang
             for machine in {row[1]: row[3] for row in chosen}.values():
                 machine.reserved = (id, now + eta * 1.5 + self.report_s * 3)
             log.info("kept machines=%d for=%s eta=%.1f", len({r[1] for r in chosen}), id, eta)
--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -21,6 +21,11 @@
 log = logging.getLogger("order")
 
 
+# The share of `start_within` after which a job goes first. In a flood beyond a team's
+# limit most jobs wait that long, and what they take early others miss their deadlines by:
+# hence late, and for one task only.
+AGED = 0.75
+
 # An aim for at least this share of a class is a deadline for each of its jobs.
 STRICT = 0.95
 
@@ -86,7 +91,7 @@
         holding.better.clear()
         begun = bool(holding.placed) or job.finished.count > 0 or bool(job.local)
         waits_since = holding.since if begun else min(holding.since, holding.release)
-        holding.aged = now - waits_since > self.policy.start_within / 2
+        holding.aged = now - waits_since > self.policy.start_within * AGED
 
     def due_of(self, holding: Holding, level: float) -> float:
         """`due`, from what the last survey found."""
@@ -97,7 +102,7 @@
         """Rank, then guarantee, then deadline; first of all who waits since too long.
 
         A stretch deadline alone keeps nobody from starving where ranks stand above it:
-        a job that has had no start for half of what users bear comes before all others
+        a job that has had no start for most of what users bear comes before all others
         until it has one, in order of acceptance.
         """
         if holding.aged:
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -220,6 +220,8 @@
             if limit and not holding.aged:
                 better = self._better_room(work, holding, machine, now)
                 limit = min(limit, holding.pool.count - better)
+            if holding.aged:
+                limit = min(limit, 1)
             if spec.spread and spec.tasks > 1 and limit:
                 inside = sum(1 for p in holding.placed.values() if p.machine.zone == machine.zone)
                 limit = min(limit, (spec.tasks + 1) // 2 - inside)
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -611,6 +611,8 @@
     async def run_direct(self) -> None:
         """Send stops, and after a takeover our token, straight to the machines."""
         limit = trio.CapacityLimiter(16)
+        # Apart: machines that can't be reached must not hold up stops for those that can.
+        probes = trio.CapacityLimiter(16)
         async with trio.open_nursery() as nursery:
             while True:
                 with trio.move_on_after(self.times.report_s / 3):
@@ -621,12 +623,12 @@
                     self._load(hold)
                     for name in list(hold.suspects):
                         machine = self.machines.get(name)
-                        if machine is not None and limit.available_tokens:
-                            nursery.start_soon(self._direct, machine, hold, limit)
+                        if machine is not None and probes.available_tokens:
+                            nursery.start_soon(self._direct, machine, hold, probes)
                 for machine in list(self.machines.values()):
                     held = self.parts.get(machine.part)
-                    if machine.deaf and held is not None and limit.available_tokens:
-                        nursery.start_soon(self._direct, machine, held, limit)
+                    if machine.deaf and held is not None and probes.available_tokens:
+                        nursery.start_soon(self._direct, machine, held, probes)
                 for name in list(self.touched):
                     self.touched.discard(name)
                     machine = self.machines.get(name)
--- a/pitchtally/policy.py
+++ b/pitchtally/policy.py
@@ -45,7 +45,7 @@
     "preempt_after": ("workers.report_s / 2", 0, 600, "wait this long for room before preempting"),
     "sick_rest": ("workers.lease_s * 3", 1, 36000, "rest for a machine that fails several jobs"),
     "start_within": ("240", 1, 36000,
-                     "users bear this wait for a start: at half of it a job goes first"),
+                     "users bear this wait for a start: after most of it a job goes first"),
     "list_every": ("cloud.list_lag_s / 2", 0.1, 600, "seconds between machine lists"),
 }
 
