Planning rests on sums; leases end only while we surely own; stale leaders stop

Processor: surveys walked over 6,000 tasks of a part, 2 to 3 times a second. Sums by like machines and job are kept up with each change; planning takes a tenth of the time instead of a fifth; one certifying read serves many polls (39 a second went out, nearly all of a node's share of requests).

Rules, found by reading for stands and for a controller that loses the store and its peers but not its workers: an owner gave up a silent machine's tasks by its own clock although a successor could have renewed the lease. Now the store, or all peers, must vouch for us up to the lease's end. A leader that was cut off or stood still went on hiring and releasing; a peer's newer claim now fences.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -111,6 +111,11 @@
             raise Invalid(422, _NAMES[name], "over the team's limit")
 
 
+# One read of the revision for as many requests that the store would take meanwhile: with
+# polls coming all the time, a fifth of this node's share.
+_CERTIFY = 5.0
+
+
 class Certifier:
     """Brings the copy up to the store's present; one read for all that wait."""
 
@@ -149,8 +154,9 @@
             for event in batch:
                 self.results[id(event)] = good
                 event.set()
-            if not good:
-                await trio.sleep(0.05)
+            # A read serves all that wait: it may take a share of the requests, no more,
+            # and leaves the rest to commits.
+            await trio.sleep(_CERTIFY / self.store.requests.rate)
 
 
 class Pending:
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -189,12 +189,17 @@
 
     async def run(self) -> None:
         while True:
-            token = self.members.leading
+            token = self.members.sure_leader()
             if token is None or self.replica.seen < 0:
-                self.led_since = None
+                if self.members.leading is None:
+                    self.led_since = None
                 await trio.sleep(0.3)
                 continue
-            if self.led_since is None or self.led_token != token:
+            if (
+                self.led_since is None
+                or self.led_token != token
+                or self.led_since < self.members.stood_at()
+            ):
                 # A new leader knows nothing of earlier hires until it has read the list.
                 self.led_since = trio.current_time()
                 self.led_token = token
@@ -401,7 +406,7 @@
         return keep
 
     async def _release(self) -> None:
-        while self.releasing:
+        while self.releasing and self.members.sure_leader() is not None:
             names = list(self.releasing)[:100]
             await self.cloud.call("POST", "/machines/release", encode(wire.Names(names)))
             now = trio.current_time()
@@ -418,6 +423,8 @@
     async def _hire(self, token: int) -> None:
         now = trio.current_time()
         for _ in range(6):
+            if self.members.sure_leader() != token:
+                return
             if self.pending is None:
                 found = self._next(now)
                 if found is None:
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -94,6 +94,7 @@
     parts: list[PartNote]
     released: list[str]
     drain: list[str]
+    holds: list[tuple[int, int]] = []  # parts owned, with their tokens
 
 
 class Cancelled(Struct, array_like=True, tag="cancelled"):
@@ -154,6 +155,8 @@
         self.wake = trio.Event()
         self.held: dict[int, int] = {}  # part -> token, as announced to the slices
         self.started_at = trio.current_time()
+        self._tick_at = self.started_at
+        self._stood_at = -1e9
         # Filled in by the service.
         self.on_gain: Callable[[int, int], None] = lambda part, token: None
         self.on_loss: Callable[[int], None] = lambda part: None
@@ -243,6 +246,47 @@
             sure = max(sure, min(p.heard_at for p in self.peers.values()))
         return sure
 
+    def owned_at(self) -> float:
+        """Up to when nobody else can have renewed a machine of a part that we hold.
+
+        The store has shown by then that the part is still ours; or every peer has told
+        what it holds, asked then, and this isn't among it. What a peer takes later it
+        can't have used before.
+        """
+        sure = self.replica.fresh_at
+        if self.peers and all(p.beat is not None for p in self.peers.values()):
+            sure = max(sure, min(p.heard_at for p in self.peers.values()))
+        return sure
+
+    def sure_leader(self) -> int | None:
+        """The leader's token, None as well if another may have taken the lead by now.
+
+        The cloud knows no tokens: a leader that was cut off, or stood still, must not hire
+        and release beside its successor.
+        """
+        limit = max(trio.current_time() - self.policy.session_ttl, self.stood_at())
+        return self.leading if self.owned_at() >= limit else None
+
+    def stood_at(self) -> float:
+        """When this process last went on after standing still.
+
+        Its clocks ran on, and all its timers fire at once: nothing heard before counts as
+        fresh, and nobody was silent only because we didn't listen. Whoever asks first
+        after a stand finds it, whatever the order in which loops go on.
+        """
+        now = trio.current_time()
+        if now - self._tick_at > self.policy.beat / 4 + self.policy.call_timeout:
+            log.info("stood still for=%.1f", now - self._tick_at)
+            self._stood_at = self._tick_at = now
+        return self._stood_at
+
+    async def run_clock(self) -> None:
+        self._tick_at = trio.current_time()
+        while True:
+            await trio.sleep(self.policy.beat / 4)
+            self.stood_at()
+            self._tick_at = trio.current_time()
+
     def blind(self) -> bool:
         return trio.current_time() - self.sure_at() > self.policy.blind
 
@@ -410,6 +454,11 @@
         if peer is None:
             return
         peer.beat = beat
+        for part, token in beat.holds:
+            mine = self.token(part)
+            if mine is not None and token > mine:
+                # Our copy of the store is behind, or cut off from it.
+                self.fenced(part, token)
         for job in beat.cancels:
             self.on_cancel(job)
         self.on_beat(beat)
--- a/pitchtally/control/notes.py
+++ b/pitchtally/control/notes.py
@@ -93,20 +93,16 @@
                     )
                 )
             waiting: dict[str, int] = {}
-            running: dict[str, int] = {}
             queued = 0.0
             for id, h in work.holdings.items():
                 if h.pool.count:
                     waiting[id] = h.pool.count
                     queued += h.pool.count * self.split.estimates.task(h.spec) * h.need[0]
-                active = sum(1 for p in h.placed.values() if p.state == wire.RUNNING)
-                if active:
-                    running[id] = active
             hold = self.workers.parts.get(part)
             note = PartNote(
                 part, hold.token if hold else 0, work.settled, queued, 0.0, machines, [], waiting
             )
-            note.running = running
+            note.running = self.workers.running(part)
             note.kept = kept
             work.ready = {
                 id
@@ -244,11 +240,10 @@
     def running(self, id: str) -> int:
         """Tasks of a job running on machines that this node knows of, for display."""
         return sum(
-            1
-            for work in self.split.parts.work.values()
-            if (holding := work.holdings.get(id)) is not None
-            for placement in holding.placed.values()
-            if placement.state == wire.RUNNING
+            load.running
+            for part in self.split.parts.work
+            for jobs in self.workers.loads.get(part, {}).values()
+            if (load := jobs.get(id)) is not None
         ) or sum(
             note.running.get(id, 0)
             for note in self.newest.values()
--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -10,6 +10,7 @@
 import trio
 
 from .. import wire
+from ..settings import Objective
 from . import stretch
 from .holdings import Holding
 from .jobs import Job
@@ -36,6 +37,9 @@
     def __init__(self, split: Split) -> None:
         super().__init__(split)
         self.released: dict[str, float] = {}  # job -> acceptance on our steady clock
+        self.aims: dict[str | None, list[Objective]] = {}  # by class
+        for aim in self.settings.deployment.objectives:
+            self.aims.setdefault(aim.job_class, []).append(aim)
 
     def slack(self, spec: wire.JobSpec) -> float:
         """Seconds a job of this class may wait and still be in time, by the tightest aim."""
@@ -43,8 +47,8 @@
         found = [] if spec.deadline is None else [spec.deadline - task]
         found.extend(
             aim.within_s - (0.0 if aim.kind == "wait" else task)
-            for aim in self.settings.deployment.objectives
-            if aim.job_class == spec.job_class and aim.within_s is not None
+            for aim in self.aims.get(spec.job_class, ())
+            if aim.within_s is not None
         )
         return max(1.0, min(found, default=task * 3))
 
@@ -75,9 +79,9 @@
         found = [math.inf if spec.deadline is None else spec.deadline]
         found.extend(
             aim.within_s - task
-            for aim in self.settings.deployment.objectives
-            if aim.kind == "finished" and aim.job_class == spec.job_class
-            and aim.within_s is not None and (aim.share or 0.0) >= STRICT
+            for aim in self.aims.get(spec.job_class, ())
+            if aim.kind == "finished" and aim.within_s is not None
+            and (aim.share or 0.0) >= STRICT
         )
         return max(0.0, min(found))
 
@@ -115,8 +119,8 @@
         task = self.split.estimates.task(spec)
         now = trio.current_time()
         missed = 0
-        for aim in self.settings.deployment.objectives:
-            if aim.job_class != spec.job_class or aim.kind == "wait":
+        for aim in self.aims.get(spec.job_class, ()):
+            if aim.kind == "wait":
                 continue
             limit = aim.within_s
             if limit is None and spec.deadline is not None:
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -50,28 +50,29 @@
         work.crowds = {}
         work.running = [0] * len(wire.RANKS)
         for machine in self.workers.of_part(part):
-            for placement in list(machine.placements.values()):
-                work.running[placement.rank] += 1
-                if not machine.usable and not placement.sent_seq and not placement.seen:
-                    # Chosen before the machine fell out of use: it is nowhere yet.
-                    self.workers.stop(placement, 0.0)
-            if not machine.usable or machine.resting_until >= now or machine.kind is None:
+            usable = machine.usable
+            if not usable:
+                for placement in list(machine.placements.values()):
+                    if not placement.sent_seq and not placement.seen:
+                        # Chosen before the machine fell out of use: it is nowhere yet.
+                        self.workers.stop(placement, 0.0)
+            if not usable or machine.resting_until >= now or machine.kind is None:
                 continue
-            kind = machine.kind
             crowd = work.crowds.get(machine.group)
             if crowd is None:
-                crowd = work.crowds[machine.group] = Crowd(kind)
+                crowd = work.crowds[machine.group] = Crowd(machine.kind)
             crowd.machines.append(machine)
-            for placement in machine.placements.values():
-                job = placement.job
-                seconds = left.get(job.id)
-                if seconds is None or not job.open:
+        for group, jobs in self.workers.loads.get(part, {}).items():
+            crowd = work.crowds.get(group)
+            for id, load in jobs.items():
+                work.running[load.rank] += load.count
+                seconds = left.get(id)
+                if crowd is None or seconds is None:
                     continue
-                if placement.run_at is not None:
-                    seconds = max(0.1, seconds - (now - placement.run_at))
-                amount = seconds * share_of(placement.need, kind)
-                crowd.work[job.id] = crowd.work.get(job.id, 0.0) + amount
-                crowd.ranks[job.id] = placement.rank
+                # What stands on machines out of use is in it: they are few, and their
+                # tasks will want room again.
+                crowd.work[id] = load.left(seconds, now) * share_of(load.need, crowd.kind)
+                crowd.ranks[id] = load.rank
         for group in [g for g in work.queues if g not in work.crowds]:
             del work.queues[group]
         for group, queue in work.queues.items():
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -20,6 +20,11 @@
 
 log = logging.getLogger("service")
 
+# Of the sockets that a controller may hold: for calls of our own, and for peers.
+OUTWARD = 0.12
+PEERS = 0.05
+REPORTS = "/v1/report"
+
 
 class Controller:
     def __init__(self, settings: Settings, policy: Policy):
@@ -95,17 +100,22 @@
             self.split.notes.own(),
             self.fleet.released_names(),
             self.fleet.drain_names(),
+            list(self.members.held.items()),
         )
 
     async def run(self) -> None:
         times = self.settings.deployment.workers
+        # One survivor of three may get every worker, and every user: what our own calls
+        # take (`OUTWARD`, by the slices) and peers need is set aside, the rest is theirs.
         connections = self.settings.deployment.machine_limits.max_connections
-        users = Server(self.api.serve, max_connections=int(connections * 0.7),
-                       idle=times.lease_s * 3, request_time=times.report_s * 2)
-        peers = Server(self._serve_peer, max_connections=int(connections * 0.1),
+        users = Server(self.api.serve, max_connections=int(connections * (1 - OUTWARD - PEERS)),
+                       idle=times.lease_s * 3, request_time=times.report_s * 2,
+                       vital=frozenset({REPORTS}))
+        peers = Server(self._serve_peer, max_connections=int(connections * PEERS),
                        idle=times.lease_s, request_time=times.report_s, max_body=1 << 22)
         loops: list[Callable[[], Awaitable[None]]] = [
-            self.replica.run, self.members.run_lease, self.members.run_ownership, self.book.run,
+            self.members.run_clock, self.replica.run, self.members.run_lease,
+            self.members.run_ownership, self.book.run,
             self.workers.run_direct, self.workers.run_expiry, self.workers.run_deaf,
             self.workers.run_record, self.split.run, self.split.run_splitting,
             self.fleet.run, self.fleet.run_types, self.api.certifier.run, self._own_drain,
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -47,8 +47,9 @@
 
 log = logging.getLogger("split")
 
-# Planning rests this many times as long as it took.
-_REST = 4.0
+# Planning rests this many times as long as it took: a tenth of the time is for it, and
+# the rest of the processor for reports and users.
+_REST = 9.0
 
 
 class Split:
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -70,10 +70,10 @@
 
 class Machine:
     __slots__ = ("address", "answered_at", "asked", "confirmed", "drain", "errors", "exits",
-                 "failed_jobs", "group", "heard_at", "idle_since", "images", "kind", "lost",
-                 "name", "notice_at", "part", "placements", "recorded", "reported", "reserved",
-                 "resting_until", "seq", "session", "slow", "spot", "type", "unheeded", "used",
-                 "yielding", "zone")
+                 "failed_jobs", "forgot_at", "group", "heard_at", "idle_since", "images", "kind",
+                 "lost", "name", "notice_at", "part", "placements", "recorded", "reported",
+                 "reserved", "resting_until", "seq", "session", "slow", "spot", "type",
+                 "unheeded", "used", "yielding", "zone")
 
     def __init__(self, name: str, part: int, type: str, zone: str, spot: bool, address: str):
         now = trio.current_time()
@@ -100,6 +100,7 @@
         self.images: dict[str, float] = {}
         self.failed_jobs: dict[str, int] = {}
         self.errors = 0
+        self.forgot_at = -1e9
         self.resting_until = -1e9
         self.drain = False
         self.lost = False
@@ -150,6 +151,27 @@
         return self.unheeded >= UNHEEDED
 
 
+class Load:
+    """A job's tasks on the like machines of a part, kept up with every change.
+
+    A planning round asks for the sums of thousands of tasks several times a second.
+    """
+
+    __slots__ = ("begun", "count", "need", "rank", "running")
+
+    def __init__(self, need: Need, rank: int):
+        self.need = need
+        self.rank = rank
+        self.count = 0
+        self.running = 0  # those that have been seen running
+        self.begun = 0.0  # the sum of when they were
+
+    def left(self, seconds: float, now: float) -> float:
+        """Seconds that they still need, if one takes `seconds`."""
+        running = max(0.1 * self.running, self.running * (seconds - now) + self.begun)
+        return (self.count - self.running) * seconds + running
+
+
 class PartHold:
     """A part that this node owns."""
 
@@ -192,10 +214,14 @@
         self.in_part: dict[int, dict[str, Machine]] = {}
         self.by_job: dict[str, dict[Placement, None]] = {}  # a set in order: days repeat
         self.team_use: dict[tuple[int, str], list[float]] = {}  # CPUs, GPUs, tasks
+        self.loads: dict[int, dict[Group, dict[str, Load]]] = {}  # part -> like machines -> job
         self.parts: dict[int, PartHold] = {}
         self.records: dict[tuple[int, int], dict[str, list[Any]]] = {}
         self.released: dict[str, float] = {}  # names the cloud has confirmed gone
-        self.client = Client(keep=1, idle=8.0)
+        # Of all sockets a thirtieth for calls under way, twice (stops, and probes apart),
+        # and as many kept open: a part may hold more machines than there are sockets.
+        self.calls = max(8, settings.deployment.machine_limits.max_connections // 30)
+        self.client = Client(keep=1, most=self.calls, idle=8.0)
         self.wake_kill = trio.Event()
         self.wake_record = trio.Event()
         self.touched: set[str] = set()
@@ -243,6 +269,14 @@
         use[0] += placement.need[0]
         use[1] += placement.need[1]
         use[2] += 1
+        jobs = self.loads.setdefault(machine.part, {}).setdefault(machine.group, {})
+        load = jobs.get(placement.job.id)
+        if load is None:
+            load = jobs[placement.job.id] = Load(placement.need, placement.rank)
+        load.count += 1
+        if placement.run_at is not None:
+            load.running += 1
+            load.begun += placement.run_at
 
     def drop(self, placement: Placement) -> bool:
         """The place is free again; False if it was already."""
@@ -262,8 +296,31 @@
         use[2] -= 1
         if not use[2]:
             use[0] = use[1] = 0.0  # sums drift, limits must not
+        jobs = self.loads[machine.part][machine.group]
+        load = jobs[placement.job.id]
+        load.count -= 1
+        if placement.run_at is not None:
+            load.running -= 1
+            load.begun -= placement.run_at
+        if not load.count:
+            del jobs[placement.job.id]
         return True
 
+    def _runs(self, placement: Placement) -> None:
+        placement.run_at = trio.current_time()
+        load = self.loads[placement.machine.part][placement.machine.group][placement.job.id]
+        load.running += 1
+        load.begun += placement.run_at
+
+    def running(self, part: int) -> dict[str, int]:
+        """Tasks of each job seen running on the part's machines."""
+        out: dict[str, int] = {}
+        for jobs in self.loads.get(part, {}).values():
+            for id, load in jobs.items():
+                if load.running:
+                    out[id] = out.get(id, 0) + load.running
+        return out
+
     def use(self, part: int, team: str) -> tuple[float, float]:
         found = self.team_use.get((part, team))
         return (found[0], found[1]) if found is not None else (0.0, 0.0)
@@ -502,7 +559,7 @@
             if task_.state != placement_.state:
                 placement_.state = task_.state
                 if task_.state == wire.RUNNING and placement_.run_at is None:
-                    placement_.run_at = now
+                    self._runs(placement_)
             if placement_.spec.image:
                 machine.images[placement_.spec.image] = now
 
@@ -573,12 +630,22 @@
         return orders
 
     def _orders(self, machine: Machine, report: wire.Report) -> list[wire.Order]:
-        orders = self._kills(machine) + self._forgets(machine)
+        now = trio.current_time()
+        orders = self._kills(machine)
+        starts = []
         if machine.usable:
             for placement in self.fill(machine):
                 placement.sent_seq = report.seq
-                placement.at = trio.current_time()
-                orders.append(wire.Order(wire.START, placement.key, placement.attempt))
+                placement.at = now
+                starts.append(wire.Order(wire.START, placement.key, placement.attempt))
+        # What a worker forgets is a change, and it reports each: beside a start that costs
+        # nothing more, alone once a report interval will do.
+        if starts or now - machine.forgot_at >= self.times.report_s:
+            forgets = self._forgets(machine)
+            if forgets:
+                machine.forgot_at = now
+                orders += forgets
+        orders += starts
         # A response may not hold a line over 64 KiB: the rest goes with the next.
         if len(orders) > 500:
             for order in orders[500:]:
@@ -610,9 +677,9 @@
 
     async def run_direct(self) -> None:
         """Send stops, and after a takeover our token, straight to the machines."""
-        limit = trio.CapacityLimiter(16)
+        limit = trio.CapacityLimiter(self.calls)
         # Apart: machines that can't be reached must not hold up stops for those that can.
-        probes = trio.CapacityLimiter(16)
+        probes = trio.CapacityLimiter(self.calls)
         async with trio.open_nursery() as nursery:
             while True:
                 with trio.move_on_after(self.times.report_s / 3):
@@ -672,16 +739,19 @@
             await trio.sleep(self.times.report_s / 4)
             now = trio.current_time()
             lease = self.times.lease_s * DRIFT + self.times.report_s / 4
+            owned = self.members.owned_at()
+            stood = self.members.stood_at()
             for machine in list(self.machines.values()):
                 hold = self.parts.get(machine.part)
                 if hold is None:
                     continue
-                silent = now - machine.heard_at
+                silent = now - max(machine.heard_at, stood)
                 held = not machine.lost or machine.placements
-                if machine.confirmed and held and now - machine.answered_at > lease:
+                if machine.confirmed and held and owned - machine.answered_at > lease:
                     log.info("lease over machine=%s tasks=%d", machine.name,
                              len(machine.placements))
-                    # Only our answers could renew, and none has for a whole lease.
+                    # Only our answers could renew, and none has for a whole lease. Cut off
+                    # from all who could tell, we wait: a new owner may be renewing it.
                     machine.lost = True
                     self._clear(machine, "lease")
                 if silent > self.policy.silence or (
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,360 @@
+"""What a far larger fleet asks for: work that doesn't grow, sockets by need, stands."""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from pitchtally import policy, wire
+from pitchtally.control.jobs import OPEN, Job, Record
+from pitchtally.control.members import Beat, Owner, part_of
+from pitchtally.control.rooms import share_of
+from pitchtally.control.service import Controller
+from pitchtally.control.workers import Placement
+from pitchtally.http import Client, Request, Response, Server
+from standins.world import HERE
+
+from .sim import TIMES, Sim, job, run, settings
+
+TYPE = wire.MachineType("big", cpus=64.0, memory=256.0, zones=["a", "b"])
+
+
+def _owner_of(part: int, token: int) -> Controller:
+    """A controller that owns a part, with no loops running."""
+    config = settings("n0")
+    found = Controller(config, policy.parse("", config))
+    found.fleet.types = {"big": TYPE}
+    found.replica.seen = token
+    found.replica.fresh_at = trio.current_time()
+    found.members.owners[part] = (Owner("n0", found.members.incarnation), token)
+    found.members._announce(part)
+    found.workers._load(found.workers.parts[part])
+    return found
+
+
+def _report(number: int, seq: int, token: int, tasks: list[dict[str, Any]]) -> Request:
+    body = {
+        "vat": f"i-{number:06d}", "address": "10.1.0.1:9000", "press": "big", "parcel": "a",
+        "gleaning": False, "shift": 1, "tally": seq, "seal": token, "recallS": None,
+        "rows": tasks,
+    }
+    return Request("POST", "/v1/report", {}, json.dumps(body).encode())
+
+
+def _calls(body: Any) -> int:
+    """Python functions entered while a coroutine that never waits runs to its end."""
+    count = 0
+
+    def entered(frame: Any, event: str, arg: Any) -> None:
+        nonlocal count
+        count += event == "call"
+
+    sys.setprofile(entered)
+    try:
+        with pytest.raises(StopIteration):
+            body.send(None)
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def test_work_for_a_report_does_not_grow_with_machines() -> None:
+    async def work(machines: int) -> int:
+        owner = _owner_of(0, 50)
+        for number in range(0, machines * 3, 3):
+            await owner.workers.serve(_report(number, 1, 50, []))
+        assert len(owner.workers.machines) == machines
+        return _calls(owner.workers.serve(_report(0, 2, 50, [])))
+
+    async def main() -> None:
+        few, many = await work(100), await work(900)
+        assert 0 < few == many
+
+    trio.run(main, clock=trio.testing.MockClock())
+
+
+def test_sums_of_a_part_are_those_of_its_tasks() -> None:
+    """Kept up with each change, they must say what a walk over all tasks would."""
+
+    async def main() -> None:
+        owner, luck = _owner_of(0, 50), random.Random(4)
+        jobs = [
+            Job(f"wk-{n:06d}", Record(OPEN, 50, _spec(n, cpus)), 1, 10_000)
+            for n, cpus in enumerate((1.0, 2.0, 4.0), 1)
+        ]
+        for number in range(0, 15, 3):
+            await owner.workers.serve(_report(number, 1, 50, []))
+        machines = list(owner.workers.machines.values())
+        placed: list[Placement] = []
+        for turn in range(400):
+            await trio.sleep(luck.random())
+            if placed and luck.random() < 0.4:
+                assert owner.workers.drop(placed.pop(luck.randrange(len(placed))))
+                continue
+            one = Placement(luck.choice(jobs), turn, turn, luck.choice(machines))
+            owner.workers.put(one)
+            placed.append(one)
+            if luck.random() < 0.7:
+                owner.workers._runs(one)
+        now, seconds = trio.current_time(), 1000.0
+        for each in jobs:
+            mine = [p for p in placed if p.job is each]
+            walk = sum(seconds - (now - p.run_at if p.run_at is not None else 0) for p in mine)
+            load = owner.workers.loads[0][("big", "a", False)][each.id]
+            assert load.left(seconds, now) == pytest.approx(walk)
+            assert load.count == len(mine)
+            assert share_of(load.need, TYPE) == each.spec.cpus / 64
+            assert owner.workers.running(0)[each.id] == sum(p.run_at is not None for p in mine)
+        for one in placed:
+            owner.workers.drop(one)
+        assert not any(owner.workers.loads[0].values())
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _spec(number: int, cpus: float) -> wire.JobSpec:
+    from pitchtally.control.api import parse_job
+
+    return parse_job(json.dumps(job(number, rows=50, vcpus=cpus)).encode())
+
+
+# --- sockets ------------------------------------------------------------------
+
+
+async def _echo(request: Request) -> Response:
+    return Response(200, request.body)
+
+
+async def _listening(nursery: trio.Nursery, server: Server) -> int:
+    probe = trio.socket.socket()
+    await probe.bind(("127.0.0.1", 0))
+    port: int = probe.getsockname()[1]
+    probe.close()
+    nursery.start_soon(server.serve, "127.0.0.1", port)
+    await trio.sleep(0.05)
+    return port
+
+
+async def _ask(stream: trio.SocketStream, raw: bytes) -> bytes:
+    await stream.send_all(raw)
+    with trio.fail_after(2):
+        return bytes(await stream.receive_some(4096))
+
+
+GET = b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n"
+VITAL = b"POST /v1/report HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"
+
+
+def test_idle_users_make_room_and_workers_stay() -> None:
+    """With all places taken, a new caller gets in, and no worker loses its connection."""
+
+    async def main() -> None:
+        server = Server(_echo, max_connections=6, idle=30, request_time=2,
+                        vital=frozenset({"/v1/report"}))
+        async with trio.open_nursery() as nursery:
+            port = await _listening(nursery, server)
+            workers = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(3)]
+            for worker in workers:
+                assert await _ask(worker, VITAL)
+            users = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(3)]
+            for user in users:
+                assert await _ask(user, GET)
+            for _ in range(5):
+                late = await trio.open_tcp_stream("127.0.0.1", port)
+                assert (await _ask(late, GET)).startswith(b"HTTP/1.1 200")
+            with trio.fail_after(2):
+                assert await users[0].receive_some(10) == b""  # idle longest
+            for worker in workers:
+                assert (await _ask(worker, VITAL)).startswith(b"HTTP/1.1 200")
+            assert len(server.links) <= 6
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_silent_connections_are_no_siege() -> None:
+    """Clients that open sockets and send nothing are the first to go."""
+
+    async def main() -> None:
+        server = Server(_echo, max_connections=20, idle=30, request_time=2)
+        async with trio.open_nursery() as nursery:
+            port = await _listening(nursery, server)
+            silent = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(60)]
+            client = Client()
+            for _ in range(3):
+                answer = await client.call(("127.0.0.1", port), "POST", "/x", b"1", timeout=1)
+                assert answer.status == 200
+                client.drop(("127.0.0.1", port))
+            assert len(server.links) <= 20
+            for stream in silent:
+                await trio.aclose_forcefully(stream)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_idle_connections_to_many_hosts_are_bounded() -> None:
+    """One was kept for each machine ever told to stop a task, until it was told again."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            client, ports = Client(keep=1, most=4, idle=30), []
+            for _ in range(12):
+                server = Server(_echo, max_connections=5, idle=30, request_time=2)
+                ports.append(await _listening(nursery, server))
+                await client.call(("127.0.0.1", ports[-1]), "GET", "/", timeout=1)
+            assert sum(len(pool) for pool in client._idle.values()) <= 4
+            assert len(client._idle) <= 4
+            assert ("127.0.0.1", ports[-1]) in client._idle
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+LATER_REQUESTS = [
+    # what follows a plain request on the same connection, and how it is answered
+    ([VITAL, VITAL], [b"200", b"200"]),
+    ([VITAL[:-1], b"k"], [b"200"]),  # the body in pieces, after a head seen before
+    ([VITAL + VITAL], [b"200", b"200"]),  # pipelined
+    ([VITAL + GET[:5], GET[5:]], [b"200", b"200"]),
+    ([VITAL.replace(b"Host", b"Connection: close\r\nHost")], [b"200", b"closed"]),
+    ([VITAL[:-1]], [b"408", b"closed"]),
+    ([b"rubbish\r\n\r\n"], [b"400", b"closed"]),
+    ([VITAL.replace(b"1.1", b"1.0")], [b"200", b"closed"]),
+]
+
+
+@pytest.mark.parametrize(("sent", "answers"), LATER_REQUESTS)
+def test_known_heads_are_read_as_h11_reads_them(sent: list[bytes], answers: list[bytes]) -> None:
+    async def main() -> None:
+        server = Server(_echo, max_connections=6, idle=5, request_time=0.3)
+        async with trio.open_nursery() as nursery:
+            port = await _listening(nursery, server)
+            for _ in range(2):  # heads are learned on the first connection
+                stream = await trio.open_tcp_stream("127.0.0.1", port)
+                assert b"200" in await _ask(stream, VITAL)
+                found = b""
+                for piece in sent:
+                    await stream.send_all(piece)
+                    await trio.sleep(0.05)
+                with trio.move_on_after(0.6):
+                    while more := await stream.receive_some(4096):
+                        found += more
+                    found += b"HTTP/1.1 closed "
+                statuses = [line.split(b" ")[0] for line in found.split(b"HTTP/1.1 ")[1:]]
+                assert statuses == answers
+                await trio.aclose_forcefully(stream)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+# --- stands, and controllers that are cut off ----------------------------------
+
+
+def test_after_a_stand_nothing_heard_before_is_fresh() -> None:
+    """Whoever asks first finds the stand, before the loop that keeps the time goes on."""
+
+    async def main() -> None:
+        owner = _owner_of(0, 50)
+        members, workers = owner.members, owner.workers
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(members.run_clock)
+            await workers.serve(_report(0, 1, 50, []))
+            await trio.sleep(1)
+            members.replica.fresh_at = trio.current_time()
+            assert members.sure_leader() == 50
+            mock.jump(TIMES.lease_s * 3)
+            at = trio.current_time()
+            assert members.stood_at() == at
+            assert members.sure_leader() is None  # another may lead by now
+            # What wasn't listened to wasn't silent.
+            assert not workers.machines["i-000000"].lost
+            nursery.start_soon(workers.run_expiry)
+            await trio.sleep(TIMES.report_s)
+            assert not workers.machines["i-000000"].lost
+            members.replica.fresh_at = trio.current_time()
+            assert members.sure_leader() == 50
+            # Now that the store vouches for us, the lease is known to be over.
+            await trio.sleep(TIMES.report_s)
+            assert workers.machines["i-000000"].lost
+            nursery.cancel_scope.cancel()
+
+    mock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(main, clock=mock)
+
+
+def test_cut_off_owner_gives_up_no_task_that_another_may_renew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its successor may be renewing a machine that has gone silent here."""
+
+    async def day(sim: Sim) -> None:
+        await sim.submit(job(1, rows=8, vcpus=2.0, realS=200.0, ripenS=200.0))
+        await trio.sleep(4)
+        old = sim.controllers["n1"].workers
+        mine = [m for m in old.machines.values() if m.placements]
+        assert mine
+        for other in ("state", "n0", "n2", *(m.name for m in mine)):
+            sim.network.cut("n1", other)
+        placed = {m.name: len(m.placements) for m in mine}
+        await trio.sleep(TIMES.lease_s * 2)
+        new = next(sim.controllers[n].workers for n in ("n0", "n2")
+                   if part_of(mine[0].name, 3) in sim.controllers[n].workers.parts)
+        assert any(new.machines[name].placements for name in placed)
+        for name, count in placed.items():
+            if name in old.machines:
+                assert len(old.machines[name].placements) == count
+        sim.check()
+
+    run(monkeypatch, day)
+
+
+def test_cut_off_leader_leaves_the_cloud_to_its_successor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It went on hiring and releasing beside it: the cloud knows no tokens."""
+
+    async def day(sim: Sim) -> None:
+        asked: list[tuple[float, str]] = []
+        handle = sim.world.handle
+
+        async def watched(request: Request) -> Response:
+            if request.method == "POST":
+                asked.append((trio.current_time(), HERE.get()))
+            return await handle(request)
+
+        sim.network.hosts[("10.2.0.2", 8443)] = ("cloud", watched)
+        await sim.submit(job(1, rows=60, vcpus=4.0, realS=20.0, ripenS=20.0))
+        await trio.sleep(1)
+        for other in ("state", "n1", "n2", *sim.world.workers):
+            sim.network.cut("n0", other)
+        at = trio.current_time()
+        await trio.sleep(60)
+        late = [who for when, who in asked if when > at + TIMES.lease_s / 4 + 1]
+        assert "n0" not in late
+        assert late  # its successor acts
+        sim.check()
+
+    run(monkeypatch, day)
+
+
+def test_a_peers_newer_claim_fences() -> None:
+    """An owner whose copy of the store lags learns from its successor's own word."""
+
+    async def main() -> None:
+        owner = _owner_of(1, 50)
+        assert owner.members.token(1) == 50
+        owner.members._take_beat(Beat("n1", "x", 0.0, [], [], [], [], [(1, 49), (2, 80)]))
+        assert owner.members.token(1) == 50
+        owner.members._take_beat(Beat("n1", "x", 0.0, [], [], [], [], [(1, 60)]))
+        assert owner.members.token(1) is None
+        assert 1 not in owner.workers.parts
+
+    trio.run(main, clock=trio.testing.MockClock())
