--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -22,10 +22,11 @@
 from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
 from . import jobs
 from .jobs import Book, Job, Record
+from .machines import need_of
 from .members import Members
 from .rooms import fits
 from .split import Split
-from .workers import Workers, need_of
+from .workers import Workers
 
 log = logging.getLogger("api")
 
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -20,10 +20,11 @@
 from ..settings import Settings, host_port
 from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
 from .jobs import Book
+from .machines import need_of
 from .members import Beat, MachineNote, Members, part_of
 from .rooms import fits, group_ok, times
 from .split import Split
-from .workers import Workers, need_of
+from .workers import Workers
 
 log = logging.getLogger("fleet")
 
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -12,6 +12,7 @@
 from ..store import StoreDown
 from .holdings import Holding, PartWork
 from .jobs import Job
+from .machines import Machine, Need, need_of
 from .rooms import (
     FREE,
     KEPT,
@@ -26,7 +27,6 @@
     whole,
 )
 from .slice import Slice
-from .workers import Machine, Need, need_of
 
 if TYPE_CHECKING:
     from .split import Split
--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -8,10 +8,10 @@
 
 from .. import wire
 from .jobs import Job
+from .machines import Group, Machine, Placement, need_of
 from .rooms import (
     RANK,
 )
-from .workers import Group, Machine, Placement, need_of
 
 if TYPE_CHECKING:
     pass
--- /dev/null
+++ b/pitchtally/control/machines.py
@@ -0,0 +1,165 @@
+"""A machine, what is placed on it, and a part as its owner holds it: plain state."""
+
+from __future__ import annotations
+
+import trio
+
+from .. import wire
+from .jobs import Job
+
+# Answers without effect after which a machine is taken for one that hears nothing.
+UNHEEDED = 2
+
+Need = tuple[float, float, float]
+Group = tuple[str, str, bool]  # type, zone, spot: machines alike but for their state
+
+
+def need_of(spec: wire.JobSpec) -> Need:
+    return (spec.cpus, spec.gpus, spec.memory)
+
+
+class Placement:
+    """A task on a machine, from the order to start it until it is known to be gone."""
+
+    __slots__ = ("at", "attempt", "grace", "job", "key", "kill_at", "machine", "need", "rank",
+                 "run_at", "seen", "sent_seq", "spec", "state", "task", "team")
+
+    def __init__(self, job: Job, task: int, attempt: int, machine: Machine):
+        self.job = job
+        self.task = task
+        self.attempt = attempt
+        self.machine = machine
+        self.spec = job.spec  # kept here: the record drops it once the job is over
+        self.need = need_of(job.spec)
+        self.state = ""  # as last reported; "" until the first report with it
+        self.seen = False
+        self.sent_seq = 0  # the report that the start answered; 0: not sent yet
+        self.at = trio.current_time()
+        self.run_at: float | None = None
+        self.grace: float | None = None  # not None: to be stopped
+        self.kill_at = 0.0
+        self.team = job.spec.team
+        self.rank = wire.RANKS.index(job.spec.rank)
+        self.key = f"{job.id}/{task}"
+
+
+class Machine:
+    __slots__ = ("address", "answered_at", "asked", "confirmed", "drain", "errors", "exits",
+                 "failed_jobs", "forgot_at", "group", "heard_at", "idle_since", "images", "kind",
+                 "lost", "name", "notice_at", "part", "placements", "recorded", "reported",
+                 "reserved", "resting_until", "seq", "session", "slow", "spot", "type",
+                 "unheeded", "used", "yielding", "zone")
+
+    def __init__(self, name: str, part: int, type: str, zone: str, spot: bool, address: str):
+        now = trio.current_time()
+        self.name = name
+        self.part = part
+        self.type = type
+        self.zone = zone
+        self.spot = spot
+        self.group: Group = (type, zone, spot)
+        self.address = address
+        self.kind: wire.MachineType | None = None
+        self.session = 0
+        self.seq = -1
+        self.confirmed = False  # a report has carried our token
+        self.recorded = False  # in the state service
+        self.answered_at = now
+        self.heard_at = now
+        self.idle_since = now
+        self.notice_at: float | None = None
+        self.placements: dict[str, Placement] = {}
+        self.used = [0.0, 0.0, 0.0]  # by its placements
+        self.yielding = [[0.0, 0.0, 0.0] for _ in wire.RANKS]  # the same, by rank
+        self.exits: dict[str, tuple[int, str]] = {}  # ended tasks to be forgotten
+        self.images: dict[str, float] = {}
+        self.failed_jobs: dict[str, int] = {}
+        self.errors = 0
+        self.forgot_at = -1e9
+        self.resting_until = -1e9
+        self.drain = False
+        self.lost = False
+        self.reserved: tuple[str, float] | None = None  # room kept for a job, until when
+        self.slow = 1.0
+        self.reported = (0, -1)  # (session, seq) of the newest report, answers apart
+        self.asked: list[wire.Order] = []  # whose effect the next report must show
+        self.unheeded = 0
+
+    def free(self) -> Need:
+        if self.kind is None:
+            return (0.0, 0.0, 0.0)
+        used, kind = self.used, self.kind
+        return (kind.cpus - used[0], kind.gpus - used[1], kind.memory - used[2])
+
+    def yields(self, rank: int) -> Need:
+        """What work of lower rank than this one holds."""
+        a = b = c = 0.0
+        for x, y, z in self.yielding[rank + 1:]:
+            a, b, c = a + x, b + y, c + z
+        return (a, b, c)
+
+    def count(self, placement: Placement, sign: float) -> None:
+        by_rank = self.yielding[placement.rank]
+        for i, amount in enumerate(placement.need):
+            self.used[i] += sign * amount
+            by_rank[i] += sign * amount
+        if not self.placements:
+            # Sums of many floats drift: an empty machine is exactly empty.
+            self.used = [0.0, 0.0, 0.0]
+            self.yielding = [[0.0, 0.0, 0.0] for _ in wire.RANKS]
+
+    @property
+    def usable(self) -> bool:
+        return (
+            self.confirmed
+            and self.recorded
+            and self.kind is not None
+            and not self.drain
+            and not self.lost
+            and not self.deaf
+            and self.notice_at is None
+        )
+
+    @property
+    def deaf(self) -> bool:
+        """Its reports arrive, but what we say doesn't reach it."""
+        return self.unheeded >= UNHEEDED
+
+
+class Load:
+    """A job's tasks on the like machines of a part, kept up with every change.
+
+    A planning round asks for the sums of thousands of tasks several times a second.
+    """
+
+    __slots__ = ("begun", "count", "need", "rank", "running")
+
+    def __init__(self, need: Need, rank: int):
+        self.need = need
+        self.rank = rank
+        self.count = 0
+        self.running = 0  # those that have been seen running
+        self.begun = 0.0  # the sum of when they were
+
+    def left(self, seconds: float, now: float) -> float:
+        """Seconds that they still need, if one takes `seconds`."""
+        running = max(0.1 * self.running, self.running * (seconds - now) + self.begun)
+        return (self.count - self.running) * seconds + running
+
+
+class PartHold:
+    """A part that this node owns."""
+
+    def __init__(self, part: int, token: int):
+        self.part = part
+        self.token = token
+        self.counter = 0
+        self.gained_at = trio.current_time()
+        self.loaded = False  # our copy includes everything up to the takeover
+        self.suspects: set[str] = set()  # recorded machines not yet heard since
+        self.settled = False
+
+    def attempt(self) -> int:
+        """Tokens are unique over all parts and rise, so attempts do too."""
+        self.counter += 1
+        return (self.token << 24) + self.counter
--- a/pitchtally/control/notes.py
+++ b/pitchtally/control/notes.py
@@ -10,6 +10,7 @@
 from .. import wire
 from . import stretch
 from .holdings import PartWork
+from .machines import Group, Machine, Need, need_of
 from .members import Beat, MachineNote, PartNote
 from .rooms import (
     fits,
@@ -19,7 +20,6 @@
     times,
 )
 from .slice import Slice
-from .workers import Group, Machine, Need, need_of
 
 if TYPE_CHECKING:
     from .split import Split
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -10,12 +10,12 @@
 from .. import wire
 from .holdings import Holding, PartWork
 from .jobs import Job, Record
+from .machines import Machine, Placement
 from .rooms import (
     allowed,
     fits,
 )
 from .slice import Slice
-from .workers import Machine, Placement
 
 if TYPE_CHECKING:
     from .split import Split
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -11,13 +11,13 @@
 from .. import wire
 from . import stretch
 from .holdings import Crowd, Holding, PartWork
+from .machines import Group, Machine, Placement, need_of
 from .rooms import (
     fits,
     share_of,
     times,
 )
 from .slice import Slice
-from .workers import Group, Machine, Placement, need_of
 
 if TYPE_CHECKING:
     pass
--- a/pitchtally/control/preemption.py
+++ b/pitchtally/control/preemption.py
@@ -10,12 +10,12 @@
 
 from .. import wire
 from .holdings import Holding, PartWork
+from .machines import Machine, Placement
 from .rooms import (
     fits,
     is_gang,
 )
 from .slice import Slice
-from .workers import Machine, Placement
 
 if TYPE_CHECKING:
     pass
--- /dev/null
+++ b/pitchtally/control/reach.py
@@ -0,0 +1,142 @@
+"""Direct words to machines: stops, our token after a takeover, and who can be reached.
+
+Never a start: a held command could run minutes later, while a late answer to a report
+is dropped.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from .. import wire
+from ..http import Client, HttpError
+from ..settings import host_port
+from .machines import Machine, PartHold
+
+if TYPE_CHECKING:
+    from .workers import Workers
+
+log = logging.getLogger("reach")
+
+encode = msgspec.json.encode
+_report = msgspec.json.Decoder(wire.Report)
+
+
+class Reach:
+    def __init__(self, workers: Workers) -> None:
+        self.workers = workers
+        self.times = workers.times
+        self.members = workers.members
+        self.policy = workers.policy
+        # Of all sockets a thirtieth for calls under way, twice (stops, and probes apart),
+        # and as many kept open: a part may hold more machines than there are sockets.
+        limits = workers.settings.deployment.machine_limits
+        self.calls = max(8, limits.max_connections // 30)
+        self.client = Client(keep=1, most=self.calls, idle=8.0)
+        self.wake = trio.Event()
+        self.touched: set[str] = set()  # machines with tasks to stop
+        self.heard_at = trio.current_time()  # when any machine was heard
+
+    def touch(self, name: str) -> None:
+        self.touched.add(name)
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Send stops, and after a takeover our token, straight to the machines."""
+        limit = trio.CapacityLimiter(self.calls)
+        # Apart: machines that can't be reached must not hold up stops for those that can.
+        probes = trio.CapacityLimiter(self.calls)
+        async with trio.open_nursery() as nursery:
+            while True:
+                with trio.move_on_after(self.times.report_s / 3):
+                    await self.wake.wait()
+                self.wake = trio.Event()
+                await trio.sleep(0.01)
+                for hold in list(self.workers.parts.values()):
+                    self.workers.load(hold)
+                    for name in list(hold.suspects):
+                        machine = self.workers.machines.get(name)
+                        if machine is not None and probes.available_tokens:
+                            nursery.start_soon(self._tell, machine, hold, probes)
+                for machine in list(self.workers.machines.values()):
+                    held = self.workers.parts.get(machine.part)
+                    if machine.deaf and held is not None and probes.available_tokens:
+                        nursery.start_soon(self._tell, machine, held, probes)
+                for name in list(self.touched):
+                    self.touched.discard(name)
+                    machine = self.workers.machines.get(name)
+                    held = self.workers.parts.get(machine.part) if machine else None
+                    if machine is not None and held is not None and machine.confirmed:
+                        nursery.start_soon(self._tell, machine, held, limit)
+
+    async def _tell(
+        self, machine: Machine, hold: PartHold, limit: trio.CapacityLimiter
+    ) -> None:
+        async with limit:
+            for _ in range(2):
+                if self.members.token(hold.part) != hold.token:
+                    return
+                orders = self.workers.kills(machine)[:500] if machine.confirmed else []
+                body = encode(wire.DirectOrders(hold.token, max(1, machine.session), orders))
+                try:
+                    response = await self.client.call(
+                        host_port(machine.address), "POST", "/commands", body,
+                        timeout=self.policy.call_timeout,
+                    )
+                    if response.status not in (200, 409):
+                        return
+                    report = _report.decode(response.body)
+                except (HttpError, msgspec.MsgspecError, ValueError) as error:
+                    log.debug("direct machine=%s: %s", machine.name, error)
+                    return
+                if report.machine != machine.name or self.workers.parts.get(hold.part) is not hold:
+                    return
+                if report.token > hold.token:
+                    self.members.fenced(hold.part, report.token)
+                    return
+                self.workers.observe(report, hold, direct=True)
+                if response.status == 200:
+                    machine.unheeded = 0  # commands reach it after all
+                    return
+
+    async def run_deaf(self) -> None:
+        """Tell a node that its machines can't reach from machines that are gone."""
+        while True:
+            await trio.sleep(self.times.report_s)
+            now = trio.current_time()
+            mine = [
+                m for m in self.workers.machines.values()
+                if m.address and m.name not in self.workers.released
+            ]
+            if not self.members.deaf and (
+                not mine or now - self.heard_at < self.times.lease_s / 4
+            ):
+                continue
+            # Machines of other parts count too: where ours are gone but others
+            # answer, handing our part on would help nobody.
+            others = [
+                Machine(name, 0, *row)
+                for chunk in list(self.workers.records.chunks.values())
+                for name, row in list(chunk.items())[:2]
+                if name not in self.workers.released and name not in self.workers.machines
+            ]
+            mine = mine[:3] + others[:4]
+            heard = False
+            for machine in mine:
+                try:
+                    response = await self.client.call(
+                        host_port(machine.address), "GET", "/status",
+                        timeout=self.policy.call_timeout / 2,
+                    )
+                    heard = heard or response.status == 200
+                except (HttpError, ValueError):
+                    continue
+                if heard:
+                    break
+            if heard:
+                self.heard_at = trio.current_time()
+            self.members.set_deaf(bool(mine) and not heard)
--- /dev/null
+++ b/pitchtally/control/records.py
@@ -0,0 +1,100 @@
+"""The record, in the state service, of the machines that may hold tasks.
+
+A later owner of a part must know every place where a task may be, so no task starts
+on a machine that isn't in here, and a name leaves only once its machine is gone.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import trio
+
+from .. import tokens
+from ..store import StoreDown, Write
+from .machines import PartHold
+
+if TYPE_CHECKING:
+    from .workers import Workers
+
+log = logging.getLogger("records")
+
+encode = msgspec.json.encode
+
+
+class Records:
+    """Chunks of a part's record: names with type, zone, kind and address."""
+
+    def __init__(self, workers: Workers) -> None:
+        self.workers = workers
+        self.chunks: dict[tuple[int, int], dict[str, list[Any]]] = {}
+        self.wake = trio.Event()
+        state = workers.settings.deployment.state
+        # Machines that one chunk may name; about 100 bytes each.
+        self.span = max(1, int(state.value_kb * 1024 / 2 / 100))
+        workers.replica.listen("fleet/", self._on_record)
+
+    def _on_record(self, key: str, value: bytes | None, version: int) -> None:
+        part, _, chunk = key.partition("/")
+        where = (int(part), int(chunk))
+        if value is None:
+            self.chunks.pop(where, None)
+        else:
+            self.chunks[where] = msgspec.json.decode(value, type=dict[str, list[Any]])
+
+    def chunk_of(self, machine: str) -> int:
+        digits = machine.rpartition("-")[2]
+        number = int(digits) if digits.isdigit() and len(digits) < 19 else 0
+        return number // self.workers.count // self.span
+
+    def of(self, part: int) -> dict[str, list[Any]]:
+        out: dict[str, list[Any]] = {}
+        for (p, _), chunk in self.chunks.items():
+            if p == part:
+                out.update(chunk)
+        return out
+
+    async def run(self) -> None:
+        while True:
+            with trio.move_on_after(self.workers.times.report_s):
+                await self.wake.wait()
+            self.wake = trio.Event()
+            await trio.sleep(0.03)  # machines come in batches
+            for hold in list(self.workers.parts.values()):
+                try:
+                    await self._write(hold)
+                except StoreDown as error:
+                    log.debug("fleet record: %s", error)
+                    await trio.sleep(0.2)
+
+    async def _write(self, hold: PartHold) -> None:
+        if not hold.loaded:
+            return
+        wanted: dict[int, dict[str, list[Any]]] = {}
+        for machine in self.workers.of_part(hold.part):
+            if machine.confirmed or machine.recorded:
+                row = [machine.type, machine.zone, machine.spot, machine.address]
+                wanted.setdefault(self.chunk_of(machine.name), {})[machine.name] = row
+        chunks = {c for p, c in self.chunks if p == hold.part} | set(wanted)
+        for chunk in chunks:
+            rows = wanted.get(chunk, {})
+            now = self.chunks.get((hold.part, chunk), {})
+            if rows == now:
+                for name in rows:
+                    self.workers.machines[name].recorded = True
+                continue
+            key = f"pt/fleet/{hold.part}/{chunk}"
+            conditions = {
+                f"pt/parts/{hold.part}": hold.token,
+                key: self.workers.replica.version(key),
+            }
+            # A name leaves the record only once its machine is known to be gone.
+            done = await self.workers.book.commit(
+                conditions, [Write(key, encode(rows))], priority=tokens.COMPLETIONS
+            )
+            if done and self.workers.parts.get(hold.part) is hold:
+                for name in rows:
+                    if name in self.workers.machines:
+                        self.workers.machines[name].recorded = True
--- a/pitchtally/control/rooms.py
+++ b/pitchtally/control/rooms.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from .. import wire
-from .workers import Need, Placement, need_of
+from .machines import Need, Placement, need_of
 
 if TYPE_CHECKING:
     pass
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -116,8 +116,8 @@
         loops: list[Callable[[], Awaitable[None]]] = [
             self.members.run_clock, self.replica.run, self.members.run_lease,
             self.members.run_ownership, self.book.run,
-            self.workers.run_direct, self.workers.run_expiry, self.workers.run_deaf,
-            self.workers.run_record, self.split.run, self.split.run_splitting,
+            self.workers.run_expiry, self.workers.reach.run, self.workers.reach.run_deaf,
+            self.workers.records.run, self.split.run, self.split.run_splitting,
             self.fleet.run, self.fleet.run_types, self.api.certifier.run, self._own_drain,
             *[self.api.acceptances.run] * Acceptances.LOOPS,
         ]
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -27,6 +27,7 @@
 from .gangs import Gangs
 from .jobs import Book, Job, encode, merge
 from .levelling import Levelling
+from .machines import need_of
 from .members import Members, PartNote
 from .notes import Notes
 from .order import Order
@@ -43,7 +44,7 @@
     whole,
 )
 from .teams import Teams
-from .workers import Workers, need_of
+from .workers import Workers
 
 log = logging.getLogger("split")
 
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -11,184 +11,29 @@
 
 import logging
 from collections.abc import Callable, Collection
-from typing import Any
 
 import msgspec
 import trio
 
-from .. import tokens, wire
-from ..http import Client, HttpError, Request, Response
+from .. import wire
+from ..http import Request, Response
 from ..policy import Policy
-from ..settings import Settings, host_port
-from ..store import Replica, StoreDown, Write
-from .jobs import Book, Job
+from ..settings import Settings
+from ..store import Replica
+from .jobs import Book
+from .machines import UNHEEDED, Group, Load, Machine, PartHold, Placement
 from .members import Members, part_of
+from .reach import Reach
+from .records import Records
 
 log = logging.getLogger("workers")
 
 # Steady clocks drift by up to 0.05 %; the rest covers timers that fire late.
 DRIFT = 1.002
 
-# Answers without effect after which a machine is taken for one that hears nothing.
-UNHEEDED = 2
-
 _report = msgspec.json.Decoder(wire.Report)
 encode = msgspec.json.encode
 
-Need = tuple[float, float, float]
-Group = tuple[str, str, bool]  # type, zone, spot: machines alike but for their state
-
-
-def need_of(spec: wire.JobSpec) -> Need:
-    return (spec.cpus, spec.gpus, spec.memory)
-
-
-class Placement:
-    """A task on a machine, from the order to start it until it is known to be gone."""
-
-    __slots__ = ("at", "attempt", "grace", "job", "key", "kill_at", "machine", "need", "rank",
-                 "run_at", "seen", "sent_seq", "spec", "state", "task", "team")
-
-    def __init__(self, job: Job, task: int, attempt: int, machine: Machine):
-        self.job = job
-        self.task = task
-        self.attempt = attempt
-        self.machine = machine
-        self.spec = job.spec  # kept here: the record drops it once the job is over
-        self.need = need_of(job.spec)
-        self.state = ""  # as last reported; "" until the first report with it
-        self.seen = False
-        self.sent_seq = 0  # the report that the start answered; 0: not sent yet
-        self.at = trio.current_time()
-        self.run_at: float | None = None
-        self.grace: float | None = None  # not None: to be stopped
-        self.kill_at = 0.0
-        self.team = job.spec.team
-        self.rank = wire.RANKS.index(job.spec.rank)
-        self.key = f"{job.id}/{task}"
-
-
-class Machine:
-    __slots__ = ("address", "answered_at", "asked", "confirmed", "drain", "errors", "exits",
-                 "failed_jobs", "forgot_at", "group", "heard_at", "idle_since", "images", "kind",
-                 "lost", "name", "notice_at", "part", "placements", "recorded", "reported",
-                 "reserved", "resting_until", "seq", "session", "slow", "spot", "type",
-                 "unheeded", "used", "yielding", "zone")
-
-    def __init__(self, name: str, part: int, type: str, zone: str, spot: bool, address: str):
-        now = trio.current_time()
-        self.name = name
-        self.part = part
-        self.type = type
-        self.zone = zone
-        self.spot = spot
-        self.group: Group = (type, zone, spot)
-        self.address = address
-        self.kind: wire.MachineType | None = None
-        self.session = 0
-        self.seq = -1
-        self.confirmed = False  # a report has carried our token
-        self.recorded = False  # in the state service
-        self.answered_at = now
-        self.heard_at = now
-        self.idle_since = now
-        self.notice_at: float | None = None
-        self.placements: dict[str, Placement] = {}
-        self.used = [0.0, 0.0, 0.0]  # by its placements
-        self.yielding = [[0.0, 0.0, 0.0] for _ in wire.RANKS]  # the same, by rank
-        self.exits: dict[str, tuple[int, str]] = {}  # ended tasks to be forgotten
-        self.images: dict[str, float] = {}
-        self.failed_jobs: dict[str, int] = {}
-        self.errors = 0
-        self.forgot_at = -1e9
-        self.resting_until = -1e9
-        self.drain = False
-        self.lost = False
-        self.reserved: tuple[str, float] | None = None  # room kept for a job, until when
-        self.slow = 1.0
-        self.reported = (0, -1)  # (session, seq) of the newest report, answers apart
-        self.asked: list[wire.Order] = []  # whose effect the next report must show
-        self.unheeded = 0
-
-    def free(self) -> Need:
-        if self.kind is None:
-            return (0.0, 0.0, 0.0)
-        used, kind = self.used, self.kind
-        return (kind.cpus - used[0], kind.gpus - used[1], kind.memory - used[2])
-
-    def yields(self, rank: int) -> Need:
-        """What work of lower rank than this one holds."""
-        a = b = c = 0.0
-        for x, y, z in self.yielding[rank + 1:]:
-            a, b, c = a + x, b + y, c + z
-        return (a, b, c)
-
-    def _count(self, placement: Placement, sign: float) -> None:
-        by_rank = self.yielding[placement.rank]
-        for i, amount in enumerate(placement.need):
-            self.used[i] += sign * amount
-            by_rank[i] += sign * amount
-        if not self.placements:
-            # Sums of many floats drift: an empty machine is exactly empty.
-            self.used = [0.0, 0.0, 0.0]
-            self.yielding = [[0.0, 0.0, 0.0] for _ in wire.RANKS]
-
-    @property
-    def usable(self) -> bool:
-        return (
-            self.confirmed
-            and self.recorded
-            and self.kind is not None
-            and not self.drain
-            and not self.lost
-            and not self.deaf
-            and self.notice_at is None
-        )
-
-    @property
-    def deaf(self) -> bool:
-        """Its reports arrive, but what we say doesn't reach it."""
-        return self.unheeded >= UNHEEDED
-
-
-class Load:
-    """A job's tasks on the like machines of a part, kept up with every change.
-
-    A planning round asks for the sums of thousands of tasks several times a second.
-    """
-
-    __slots__ = ("begun", "count", "need", "rank", "running")
-
-    def __init__(self, need: Need, rank: int):
-        self.need = need
-        self.rank = rank
-        self.count = 0
-        self.running = 0  # those that have been seen running
-        self.begun = 0.0  # the sum of when they were
-
-    def left(self, seconds: float, now: float) -> float:
-        """Seconds that they still need, if one takes `seconds`."""
-        running = max(0.1 * self.running, self.running * (seconds - now) + self.begun)
-        return (self.count - self.running) * seconds + running
-
-
-class PartHold:
-    """A part that this node owns."""
-
-    def __init__(self, part: int, token: int):
-        self.part = part
-        self.token = token
-        self.counter = 0
-        self.gained_at = trio.current_time()
-        self.loaded = False  # our copy includes everything up to the takeover
-        self.suspects: set[str] = set()  # recorded machines not yet heard since
-        self.settled = False
-
-    def attempt(self) -> int:
-        """Tokens are unique over all parts and rise, so attempts do too."""
-        self.counter += 1
-        return (self.token << 24) + self.counter
-
 
 class Workers:
     def __init__(
@@ -216,18 +61,9 @@
         self.team_use: dict[tuple[int, str], list[float]] = {}  # CPUs, GPUs, tasks
         self.loads: dict[int, dict[Group, dict[str, Load]]] = {}  # part -> like machines -> job
         self.parts: dict[int, PartHold] = {}
-        self.records: dict[tuple[int, int], dict[str, list[Any]]] = {}
         self.released: dict[str, float] = {}  # names the cloud has confirmed gone
-        # Of all sockets a thirtieth for calls under way, twice (stops, and probes apart),
-        # and as many kept open: a part may hold more machines than there are sockets.
-        self.calls = max(8, settings.deployment.machine_limits.max_connections // 30)
-        self.client = Client(keep=1, most=self.calls, idle=8.0)
-        self.wake_kill = trio.Event()
-        self.wake_record = trio.Event()
-        self.touched: set[str] = set()
-        # Machines that one chunk of the fleet record may name; about 100 bytes each.
-        self.span = max(1, int(settings.deployment.state.value_kb * 1024 / 2 / 100))
-        self.reachable_at = trio.current_time()
+        self.records = Records(self)
+        self.reach = Reach(self)
         # Filled in by the service.
         self.fill: Callable[[Machine], list[Placement]] = lambda machine: []
         self.on_gone: Callable[[Placement, str], None] = lambda placement, cause: None
@@ -236,14 +72,13 @@
         self.on_settled: Callable[[int], None] = lambda part: None
         self.on_lost_part: Callable[[int], None] = lambda part: None
         self.adopt: Callable[[Placement], bool] = lambda placement: True
-        replica.listen("fleet/", self._on_record)
 
     # --- ownership -----------------------------------------------------------
 
     def gained(self, part: int, token: int) -> None:
         self.drop_part(part)
         self.parts[part] = PartHold(part, token)
-        self.wake_kill.set()
+        self.reach.wake.set()
 
     def drop_part(self, part: int) -> None:
         if self.parts.pop(part, None) is None:
@@ -263,7 +98,7 @@
         if old is not None:
             self.drop(old)
         machine.placements[placement.key] = placement
-        machine._count(placement, 1.0)
+        machine.count(placement, 1.0)
         self.by_job.setdefault(placement.job.id, {})[placement] = None
         use = self.team_use.setdefault((machine.part, placement.team), [0.0, 0.0, 0.0])
         use[0] += placement.need[0]
@@ -284,7 +119,7 @@
         if machine.placements.get(placement.key) is not placement:
             return False
         del machine.placements[placement.key]
-        machine._count(placement, -1.0)
+        machine.count(placement, -1.0)
         mates = self.by_job.get(placement.job.id)
         if mates is not None:
             mates.pop(placement, None)
@@ -330,32 +165,13 @@
         if machine is not None:
             self.in_part.get(machine.part, {}).pop(name, None)
 
-    def _on_record(self, key: str, value: bytes | None, version: int) -> None:
-        part, _, chunk = key.partition("/")
-        where = (int(part), int(chunk))
-        if value is None:
-            self.records.pop(where, None)
-        else:
-            self.records[where] = msgspec.json.decode(value, type=dict[str, list[Any]])
-
-    def _chunk(self, machine: str) -> int:
-        digits = machine.rpartition("-")[2]
-        number = int(digits) if digits.isdigit() and len(digits) < 19 else 0
-        return number // self.count // self.span
-
-    def _recorded(self, part: int) -> dict[str, list[Any]]:
-        out: dict[str, list[Any]] = {}
-        for (p, _), chunk in self.records.items():
-            if p == part:
-                out.update(chunk)
-        return out
 
-    def _load(self, hold: PartHold) -> None:
+    def load(self, hold: PartHold) -> None:
         """Once our copy covers the takeover, the record says where tasks may be."""
         if hold.loaded or self.replica.seen < hold.token:
             return
         hold.loaded = True
-        for name, (type_, zone, spot, address) in self._recorded(hold.part).items():
+        for name, (type_, zone, spot, address) in self.records.of(hold.part).items():
             if name in self.released:
                 continue  # gone for certain; the record is about to say so too
             machine = self.machines.get(name)
@@ -483,7 +299,7 @@
             log.info("session risen machine=%s tasks=%d", machine.name, len(machine.placements))
             self._clear(machine, "session")
         machine.session, machine.seq = report.session, report.seq
-        machine.heard_at = self.reachable_at = now
+        machine.heard_at = self.reach.heard_at = now
         if machine.lost:
             machine.lost = False
             machine.idle_since = now
@@ -499,7 +315,7 @@
             hold.suspects.discard(machine.name)
             self._settle(hold)
         if not machine.recorded:
-            self.wake_record.set()
+            self.records.wake.set()
         if machine.placements:
             machine.idle_since = now
         return machine
@@ -602,7 +418,7 @@
 
     # --- orders --------------------------------------------------------------------
 
-    def _kills(self, machine: Machine) -> list[wire.Order]:
+    def kills(self, machine: Machine) -> list[wire.Order]:
         now = trio.current_time()
         orders = []
         for key, placement in machine.placements.items():
@@ -631,7 +447,7 @@
 
     def _orders(self, machine: Machine, report: wire.Report) -> list[wire.Order]:
         now = trio.current_time()
-        orders = self._kills(machine)
+        orders = self.kills(machine)
         starts = []
         if machine.usable:
             for placement in self.fill(machine):
@@ -665,8 +481,7 @@
         if placement.grace is None or grace < placement.grace:
             placement.grace = grace
             placement.kill_at = 0.0
-            self.touched.add(placement.machine.name)
-            self.wake_kill.set()
+            self.reach.touch(placement.machine.name)
 
     def stop_job(self, id: str) -> None:
         """A cancelled job: all its tasks, wherever they are."""
@@ -675,63 +490,6 @@
 
     # --- loops ------------------------------------------------------------------------
 
-    async def run_direct(self) -> None:
-        """Send stops, and after a takeover our token, straight to the machines."""
-        limit = trio.CapacityLimiter(self.calls)
-        # Apart: machines that can't be reached must not hold up stops for those that can.
-        probes = trio.CapacityLimiter(self.calls)
-        async with trio.open_nursery() as nursery:
-            while True:
-                with trio.move_on_after(self.times.report_s / 3):
-                    await self.wake_kill.wait()
-                self.wake_kill = trio.Event()
-                await trio.sleep(0.01)
-                for hold in list(self.parts.values()):
-                    self._load(hold)
-                    for name in list(hold.suspects):
-                        machine = self.machines.get(name)
-                        if machine is not None and probes.available_tokens:
-                            nursery.start_soon(self._direct, machine, hold, probes)
-                for machine in list(self.machines.values()):
-                    held = self.parts.get(machine.part)
-                    if machine.deaf and held is not None and probes.available_tokens:
-                        nursery.start_soon(self._direct, machine, held, probes)
-                for name in list(self.touched):
-                    self.touched.discard(name)
-                    machine = self.machines.get(name)
-                    held = self.parts.get(machine.part) if machine else None
-                    if machine is not None and held is not None and machine.confirmed:
-                        nursery.start_soon(self._direct, machine, held, limit)
-
-    async def _direct(
-        self, machine: Machine, hold: PartHold, limit: trio.CapacityLimiter
-    ) -> None:
-        async with limit:
-            for _ in range(2):
-                if self.members.token(hold.part) != hold.token:
-                    return
-                orders = self._kills(machine)[:500] if machine.confirmed else []
-                body = encode(wire.DirectOrders(hold.token, max(1, machine.session), orders))
-                try:
-                    response = await self.client.call(
-                        host_port(machine.address), "POST", "/commands", body,
-                        timeout=self.policy.call_timeout,
-                    )
-                    if response.status not in (200, 409):
-                        return
-                    report = _report.decode(response.body)
-                except (HttpError, msgspec.MsgspecError, ValueError) as error:
-                    log.debug("direct machine=%s: %s", machine.name, error)
-                    return
-                if report.machine != machine.name or self.parts.get(hold.part) is not hold:
-                    return
-                if report.token > hold.token:
-                    self.members.fenced(hold.part, report.token)
-                    return
-                self.observe(report, hold, direct=True)
-                if response.status == 200:
-                    machine.unheeded = 0  # commands reach it after all
-                    return
 
     async def run_expiry(self) -> None:
         """Give up what silent machines held, once their lease must have ended."""
@@ -776,87 +534,8 @@
         if hold is not None and name in hold.suspects:
             hold.suspects.discard(name)
             self._settle(hold)
-        self.wake_record.set()
-
-    async def run_deaf(self) -> None:
-        """Tell a node that its machines can't reach from machines that are gone."""
-        while True:
-            await trio.sleep(self.times.report_s)
-            now = trio.current_time()
-            mine = [m for m in self.machines.values() if m.address and m.name not in self.released]
-            if not self.members.deaf and (
-                not mine or now - self.reachable_at < self.times.lease_s / 4
-            ):
-                continue
-            # Machines of other parts count too: where ours are gone but others
-            # answer, handing our part on would help nobody.
-            others = [
-                Machine(name, 0, *row)
-                for chunk in list(self.records.values())
-                for name, row in list(chunk.items())[:2]
-                if name not in self.released and name not in self.machines
-            ]
-            mine = mine[:3] + others[:4]
-            heard = False
-            for machine in mine:
-                try:
-                    response = await self.client.call(
-                        host_port(machine.address), "GET", "/status",
-                        timeout=self.policy.call_timeout / 2,
-                    )
-                    heard = heard or response.status == 200
-                except (HttpError, ValueError):
-                    continue
-                if heard:
-                    break
-            if heard:
-                self.reachable_at = trio.current_time()
-            self.members.set_deaf(bool(mine) and not heard)
-
-    # --- the record of machines that may hold tasks ----------------------------------
+        self.records.wake.set()
 
-    async def run_record(self) -> None:
-        while True:
-            with trio.move_on_after(self.times.report_s):
-                await self.wake_record.wait()
-            self.wake_record = trio.Event()
-            await trio.sleep(0.03)  # machines come in batches
-            for hold in list(self.parts.values()):
-                try:
-                    await self._write_record(hold)
-                except StoreDown as error:
-                    log.debug("fleet record: %s", error)
-                    await trio.sleep(0.2)
-
-    async def _write_record(self, hold: PartHold) -> None:
-        if not hold.loaded:
-            return
-        wanted: dict[int, dict[str, list[Any]]] = {}
-        for machine in self.of_part(hold.part):
-            if machine.confirmed or machine.recorded:
-                row = [machine.type, machine.zone, machine.spot, machine.address]
-                wanted.setdefault(self._chunk(machine.name), {})[machine.name] = row
-        chunks = {c for p, c in self.records if p == hold.part} | set(wanted)
-        for chunk in chunks:
-            rows = wanted.get(chunk, {})
-            now = self.records.get((hold.part, chunk), {})
-            if rows == now:
-                for name in rows:
-                    self.machines[name].recorded = True
-                continue
-            key = f"pt/fleet/{hold.part}/{chunk}"
-            conditions = {
-                f"pt/parts/{hold.part}": hold.token,
-                key: self.replica.version(key),
-            }
-            # A name leaves the record only once its machine is known to be gone.
-            done = await self.book.commit(
-                conditions, [Write(key, encode(rows))], priority=tokens.COMPLETIONS
-            )
-            if done and self.parts.get(hold.part) is hold:
-                for name in rows:
-                    if name in self.machines:
-                        self.machines[name].recorded = True
 
     # --- views --------------------------------------------------------------------------
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,10 +13,10 @@
 
 from pitchtally import policy, wire
 from pitchtally.control.jobs import OPEN, Job, Record
+from pitchtally.control.machines import Placement
 from pitchtally.control.members import Beat, Owner, part_of
 from pitchtally.control.rooms import share_of
 from pitchtally.control.service import Controller
-from pitchtally.control.workers import Placement
 from pitchtally.http import Client, Request, Response, Server
 from standins.world import HERE
 
@@ -34,7 +34,7 @@
     found.replica.fresh_at = trio.current_time()
     found.members.owners[part] = (Owner("n0", found.members.incarnation), token)
     found.members._announce(part)
-    found.workers._load(found.workers.parts[part])
+    found.workers.load(found.workers.parts[part])
     return found
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -37,7 +37,7 @@
     for number in range(0, 400 * 3, 3):
         name = f"i-{number:09d}"
         row = ["vineeye-large", "chaophraya-north", False, "10.100.200.250:65000"]
-        chunks.setdefault(workers._chunk(name), {})[name] = row
+        chunks.setdefault(workers.records.chunk_of(name), {})[name] = row
     return max(len(jobs.encode(chunk)) for chunk in chunks.values())
 
 
