--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -50,6 +50,14 @@
             for aim in self.aims.get(spec.job_class, ())
             if aim.within_s is not None
         )
+        if spec.kind == wire.GANG and self.split.teams.guaranteed(spec.team):
+            # Arrays fill what frees up, but a gang within its team's guarantee starts in
+            # time only where room for all of it is up already.
+            found.extend(
+                aim.within_s
+                for aim in self.aims.get(None, ())
+                if aim.kind == "guarantee" and aim.within_s is not None
+            )
         return max(1.0, min(found, default=task * 3))
 
     def size(self, spec: wire.JobSpec) -> float:
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -59,6 +59,10 @@
         found = self.known.get(team)
         return found is None or found.cpus_max > 0 or found.gpus_max > 0
 
+    def guaranteed(self, team: str) -> bool:
+        found = self.known.get(team)
+        return found is not None and (found.cpus > 0 or found.gpus > 0)
+
     def use(self, part: int, team: str) -> tuple[float, float]:
         return self.workers.use(part, team)
 
