--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -8,7 +8,7 @@
 
 from .. import wire
 from .jobs import Job
-from .machines import Group, Machine, Placement, need_of
+from .machines import Group, Machine, Need, Placement, need_of
 from .rooms import (
     RANK,
 )
@@ -76,6 +76,7 @@
         self.ranges: list[tuple[int, int]] = []
         self.since = trio.current_time()  # waiting for room since
         self.moving = False
+        self.allotted_at = -1e9
         self.not_before = -1e9  # after failures on several machines
         self.failed_on: set[str] = set()
         self.tried = 0  # the shared attempt that was placed last
@@ -125,8 +126,17 @@
         self.settled = False
         self.blocked: set[str] = set()  # jobs whose tasks an unheard machine may hold
         self.holdings: dict[str, Holding] = {}
+        self.gangs: dict[str, Holding] = {}  # those of them that are gangs
+        # The least CPUs and memory that a waiting task needs, as of the last survey: most
+        # machines that report are too full for any.
+        self.least: tuple[float, float] = (0.0, 0.0)
+        self.levelled: dict[Group, tuple[float, float]] = {}  # crowd -> (when, its level)
         self.queues: dict[Group, dict[str, int]] = {}  # like machines -> job -> tasks
         self.crowds: dict[Group, Crowd] = {}
         self.running: list[int] = [0] * len(wire.RANKS)  # tasks on machines, by rank
         self.ready: set[str] = set()  # gangs over several parts that have their room here
         self.early: list[Placement] = []  # seen on machines before the part settled
+
+    def expect(self, need: Need) -> None:
+        """Such a task waits from now on: see `least`."""
+        self.least = (min(self.least[0], need[0]), min(self.least[1], need[2]))
--- a/pitchtally/control/levelling.py
+++ b/pitchtally/control/levelling.py
@@ -56,6 +56,8 @@
                 and now - h.since >= 0.5
             ]
             for _, _, id in sorted(rows)[:_BALANCE]:
+                if self.split.parts.work.get(part) is not work:
+                    break  # lost while tasks of it were being given away
                 holding = work.holdings.get(id)
                 if holding is None or not self.split.parts.ready(work, id, holding, now):
                     continue
@@ -149,14 +151,11 @@
         """
         cards = spec.gpus > 0
         width = 0.0
-        for machine in note.machines:
-            kind = self.types().get(machine.type)
-            if (
-                kind is not None
-                and machine.flag in ("", "new")
-                and group_ok(spec, kind, machine.zone, machine.spot)
-            ):
-                width += kind.gpus if cards else kind.cpus
+        for (type_, zone, spot), machines in self.split.notes.groups_of(note).items():
+            kind = self.types().get(type_)
+            if kind is not None and group_ok(spec, kind, zone, spot):
+                able = sum(1 for machine in machines if machine.flag in ("", "new"))
+                width += able * (kind.gpus if cards else kind.cpus)
         if not width:
             return math.inf, 0.0
         work = 0.0
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -65,6 +65,7 @@
             self.split.order.released.pop(job.id, None)
             for work in self.work.values():
                 holding = work.holdings.pop(job.id, None)
+                work.gangs.pop(job.id, None)
                 work.blocked.discard(job.id)
                 for queue in work.queues.values():
                     queue.pop(job.id, None)
@@ -84,19 +85,25 @@
         self.split.wake.set()
 
     def hold(self, job: Job, part: int) -> None:
-        work = self.work[part]
+        work = self.work.get(part)
+        if work is None:
+            return  # lost while the write that changed the job was under way
         mine = [(a, b) for a, b, p in job.record.ranges if p == part]
         holding = work.holdings.get(job.id)
         if holding is None:
             if not mine or not work.loaded or job.id in work.blocked:
                 return
             holding = work.holdings[job.id] = Holding(job, part, self.split.order.release(job))
+            if holding.gang:
+                work.gangs[job.id] = holding
             self.split.order.renew(holding)
             holding.rebuild()
         elif holding.ranges != mine and not holding.moving:
             holding.rebuild()
+        work.expect(holding.need)
         if not mine and not holding.placed:
             work.holdings.pop(job.id, None)
+            work.gangs.pop(job.id, None)
 
     def adopt(self, placement: Placement) -> bool:
         """A running task that an earlier owner started; False: it must be stopped."""
@@ -149,6 +156,7 @@
             return
         if not job.is_finished(placement.task):
             holding.give_back(placement.task)
+            work.expect(holding.need)
             if cause == wire.ERROR:
                 holding.failed_on.add(placement.machine.name)
                 # A job that fails wherever it goes waits longer each time.
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -206,6 +206,8 @@
             for team in self.known.values():
                 if not self.limited(team.name) or (part, team.name) in self.giving:
                     continue
+                if self.split.parts.work.get(part) is not work:
+                    break  # lost while a share of it was being given away
                 spare = self._spare(part, work, team.name)
                 for other in self.split.notes.newest.values():
                     if other.part == part:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -316,6 +316,40 @@
     run(monkeypatch, day)
 
 
+def test_part_lost_while_a_gang_is_given_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """inc-4c83: the write took its time, the part went, and the whole round was lost."""
+
+    async def day(sim: Sim) -> None:
+        sim.world.capacity = 4
+        await sim.submit(job(1, rows=16, vcpus=2.0, realS=60.0, ripenS=60.0))
+        await trio.sleep(2)
+        await sim.submit(job(2, rows=1, cut="gang", vcpus=8.0, oneZone=True))
+        faults: list[str] = []
+        for controller in sim.controllers.values():
+            split, hold = controller.split, controller.split.parts.hold
+
+            async def lost(
+                *args: Any, split: Any = split, write: Any = split.write_ranges, **more: Any
+            ) -> bool:
+                done: bool = await write(*args, **more)
+                for part in list(split.parts.work):
+                    split.workers.drop_part(part)
+                return done
+
+            def watched(each: Any, part: int, hold: Any = hold) -> None:
+                try:
+                    hold(each, part)
+                except KeyError:
+                    faults.append(each.id)
+
+            monkeypatch.setattr(split, "write_ranges", lost)
+            monkeypatch.setattr(split.parts, "hold", watched)
+        await trio.sleep(30)
+        assert not faults
+
+    run(monkeypatch, day)
+
+
 def test_cut_off_leader_leaves_the_cloud_to_its_successor(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
