--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -298,9 +298,12 @@
             if name in self.gone:
                 continue
             if note.flag in ("lost", "unheard", "deaf"):
-                # Lost: its lease is over already. Unheard: a takeover waits for it.
-                # Deaf: it reports, but its lease runs out all the same.
-                limit = self.policy.silence / (4 if note.flag == "lost" else 2)
+                # Unheard: a takeover waits for it. Deaf: it reports, but its lease runs out
+                # all the same. Lost: its lease is over, its tasks go elsewhere and others
+                # are hired in its place; it may only hang, or its zone be cut off, and if
+                # it is dead the list soon says so. Returned at once, dozens that were about
+                # to go on would have to boot anew.
+                limit = self.policy.silence / (1 if note.flag == "lost" else 2)
                 if now - self.lost_since.setdefault(name, now) > limit:
                     self._return(name, "silent")
             else:
