--- a/pitchtally/control/stretch.py
+++ b/pitchtally/control/stretch.py
@@ -107,8 +107,15 @@
     return int(free / task + 1e-9)
 
 
-def geometric(first: float, ratio: float, count: int) -> list[float]:
-    return [first * ratio**i for i in range(count)]
+def samples(first: float, last: float, count: int) -> list[float]:
+    """A geometric series from first to last: fewer samples are coarser, not shorter.
+
+    A series cut short would promise nothing to real queues, whose jobs then wait for a
+    split until the queues have run dry.
+    """
+    if count < 2:
+        return [last]
+    return [first * (last / first) ** (i / (count - 1)) for i in range(count)]
 
 
 def sample_below(samples: Sequence[float], value: float) -> int:
--- a/tests/test_stretch.py
+++ b/tests/test_stretch.py
@@ -95,3 +95,13 @@
 )
 def test_shares(weights: list[float], total: int, out: list[int]) -> None:
     assert stretch.shares(weights, total) == out
+
+
+@pytest.mark.parametrize("count", [2, 3, 8, 16, 64])
+def test_fewer_samples_are_coarser_not_shorter(count: int) -> None:
+    """With 8 samples of S instead of 16 the largest was 2^-5: no real queue was covered."""
+    found = stretch.samples(2.0**-12, 8.0, count)
+    assert len(found) == count
+    assert found[0] == 2.0**-12
+    assert found[-1] == pytest.approx(8.0)
+    assert all(a < b for a, b in itertools.pairwise(found))
