Tasks of a job cancelled between two owners are stopped by the new one

Now they are ended at once, and until they are gone the whole machine counts as used by any limited team.

With the same count, limited teams go on after a takeover beside machines not heard: those may hold no more than they are large. Before, one silent machine stopped every limited team of the part until it was released.

--- a/pitchtally/control/machines.py
+++ b/pitchtally/control/machines.py
@@ -46,9 +46,9 @@
 class Machine:
     __slots__ = ("address", "answered_at", "asked", "confirmed", "drain", "errors", "exits",
                  "failed_jobs", "forgot_at", "group", "heard_at", "idle_since", "images", "kind",
-                 "lost", "name", "notice_at", "part", "placements", "recorded", "reported",
-                 "reserved", "resting_until", "seq", "session", "slow", "spot", "type",
-                 "unheeded", "used", "yielding", "zone")
+                 "lost", "name", "notice_at", "orphans", "part", "placements", "recorded",
+                 "reported", "reserved", "resting_until", "seq", "session", "slow", "spot",
+                 "type", "unheeded", "used", "yielding", "zone")
 
     def __init__(self, name: str, part: int, type: str, zone: str, spot: bool, address: str):
         now = trio.current_time()
@@ -72,6 +72,9 @@
         self.used = [0.0, 0.0, 0.0]  # by its placements
         self.yielding = [[0.0, 0.0, 0.0] for _ in wire.RANKS]  # the same, by rank
         self.exits: dict[str, tuple[int, str]] = {}  # ended tasks to be forgotten
+        # Tasks of jobs that were over before this node took the part: it knows no more of
+        # them than that they must end.
+        self.orphans: dict[str, int] = {}
         self.images: dict[str, float] = {}
         self.failed_jobs: dict[str, int] = {}
         self.errors = 0
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -70,10 +70,11 @@
         """How many more tasks of this job the team's share allows in the part."""
         if not self.limited(spec.team):
             return 1_000_000
-        if not self.split.parts.work[part].settled:
-            return 0  # unheard machines may hold the team's tasks
+        unheard = self._unheard(part)
+        if unheard is None:
+            return 0
         share, used = self.share(part, spec.team), self.use(part, spec.team)
-        cpus, gpus = share[0] - used[0], share[1] - used[1]
+        cpus, gpus = share[0] - used[0] - unheard[0], share[1] - used[1] - unheard[1]
         if self.held_back(spec):
             # The gang's part leaves all that it needs, any other as much of that as it
             # holds of the limit; the rest goes on, for a gang may wait long for shares
@@ -88,6 +89,27 @@
                 gpus -= gang.gpus * gang.tasks * part_of
         return times((spec.cpus, spec.gpus, 0.0), (cpus, gpus, 1.0))
 
+    def _unheard(self, part: int) -> tuple[float, float] | None:
+        """The most that a team may use, unknown to us, on machines since the takeover.
+
+        Any of them may hold nothing but this team's tasks. A zone that is cut off in the
+        midst of a takeover must not stop every limited team on the machines that answer.
+        """
+        haunted = self.workers.haunted.get(part)
+        if self.split.parts.work[part].settled and not haunted:
+            return (0.0, 0.0)
+        hold = self.workers.parts.get(part)
+        if hold is None or not hold.loaded:
+            return None
+        cpus = gpus = 0.0
+        # Nor is anything known of what tasks of jobs that are over take until they end.
+        for name in hold.suspects | (haunted or set()):
+            machine = self.workers.machines.get(name)
+            if machine is None or machine.kind is None:
+                return None
+            cpus, gpus = cpus + machine.kind.cpus, gpus + machine.kind.gpus
+        return (cpus, gpus)
+
     def held_back(self, spec: wire.JobSpec) -> bool:
         """Whether a gang of the team comes first and can't gather enough of its limit.
 
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -61,6 +61,7 @@
         self.team_use: dict[tuple[int, str], list[float]] = {}  # CPUs, GPUs, tasks
         self.loads: dict[int, dict[Group, dict[str, Load]]] = {}  # part -> like machines -> job
         self.parts: dict[int, PartHold] = {}
+        self.haunted: dict[int, set[str]] = {}  # machines with orphans, by part
         self.released: dict[str, float] = {}  # names the cloud has confirmed gone
         self.records = Records(self)
         self.reach = Reach(self)
@@ -83,6 +84,7 @@
     def drop_part(self, part: int) -> None:
         if self.parts.pop(part, None) is None:
             return
+        self.haunted.pop(part, None)
         for machine in self.in_part.pop(part, {}).values():
             for placement in list(machine.placements.values()):
                 self.drop(placement)
@@ -325,6 +327,8 @@
         for placement in list(machine.placements.values()):
             self._gone(placement, cause)
         machine.exits.clear()
+        machine.orphans.clear()
+        self.haunted.get(machine.part, set()).discard(machine.name)
 
     def _gone(self, placement: Placement, cause: str) -> None:
         machine = placement.machine
@@ -353,6 +357,7 @@
             self._gone(placement, "missing")
         machine.exits = {k: v for k, v in machine.exits.items()
                          if k in listed and listed[k].attempt == v[0]}
+        machine.orphans.clear()
         for key, task_ in listed.items():
             placement_ = machine.placements.get(key)
             if placement_ is not None and placement_.attempt != task_.attempt:
@@ -367,6 +372,11 @@
             if placement_ is None:
                 placement_ = self._adopted(machine, key, task_)
                 if placement_ is None:
+                    # Cancelled while nobody owned the part: its owner was gone, and we
+                    # had not heard the machine. A job unknown here stays alone: our copy
+                    # may be behind.
+                    if self._over(key):
+                        machine.orphans[key] = task_.attempt
                     continue
                 self.put(placement_)
                 if not self.adopt(placement_):
@@ -378,9 +388,19 @@
                     self._runs(placement_)
             if placement_.spec.image:
                 machine.images[placement_.spec.image] = now
+        haunted = self.haunted.setdefault(machine.part, set())
+        if machine.orphans:
+            haunted.add(machine.name)
+            self.reach.touch(machine.name)
+        else:
+            haunted.discard(machine.name)
+
+    def _over(self, key: str) -> bool:
+        job = self.book.jobs.get(key.rpartition("/")[0])
+        return job is not None and not job.open
 
     def _adopted(self, machine: Machine, key: str, task: wire.TaskReport) -> Placement | None:
-        """A task that an earlier owner started, or one of a job that is over."""
+        """A task that an earlier owner started, of a job that goes on."""
         id, _, number = key.rpartition("/")
         job = self.book.jobs.get(id)
         if job is None or not job.open or not number.isdigit():
@@ -432,6 +452,7 @@
             if not placement.kill_at:
                 placement.kill_at = now
             orders.append(wire.Order(wire.STOP, key, placement.attempt, grace))
+        orders += [wire.Order(wire.STOP, k, n, 0.0) for k, n in machine.orphans.items()]
         return orders
 
     def _forgets(self, machine: Machine) -> list[wire.Order]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,13 +11,14 @@
 import trio
 import trio.testing
 
-from pitchtally import policy, wire
+from pitchtally import policy, tokens, wire
 from pitchtally.control.jobs import OPEN, Job, Record
 from pitchtally.control.machines import Placement
 from pitchtally.control.members import Beat, Owner, part_of
 from pitchtally.control.rooms import share_of
 from pitchtally.control.service import Controller
 from pitchtally.http import Client, Request, Response, Server
+from pitchtally.settings import Team
 from standins.world import HERE
 
 from .sim import TIMES, Sim, job, run, settings
@@ -316,6 +317,79 @@
     run(monkeypatch, day)
 
 
+@pytest.mark.parametrize("gap", [0.0, 0.5, 2.0])
+def test_cancelled_between_two_owners(gap: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The owner was gone already, and its successor finds tasks of a job that is over."""
+
+    async def day(sim: Sim) -> None:
+        # Others' work beside it: no machine goes back for being idle.
+        for number, team in ((1, "free"), (2, "free"), (3, "tight")):
+            await sim.submit(job(number, rows=6, vcpus=1.0, crew=team, realS=400.0, ripenS=400.0))
+        await trio.sleep(4)
+        assert len(sim.world.rules.places) == 18
+        sim.kill("n1", "n2")
+        await trio.sleep(gap)
+        await sim.cancel("wk-000001")
+        await sim.cancel("wk-000003")
+        await sim.submit(job(4, rows=6, vcpus=1.0, crew="tight"))
+        await trio.sleep(TIMES.cancel_s + 2)
+        left = {task.rpartition("/")[0] for task in sim.world.rules.places}
+        assert left <= {"wk-000002"}
+        sim.check()  # the team's limit too: six tasks at once
+
+    run(monkeypatch, day)
+
+
+UNHEARD = [
+    # machines of 64 CPUs not heard since the takeover, tasks of 2 CPUs that may start
+    (0, 100), (1, 68), (3, 4), (4, 0),
+]
+
+
+@pytest.mark.parametrize(("unheard", "room"), UNHEARD)
+def test_limited_team_goes_on_beside_machines_not_heard(unheard: int, room: int) -> None:
+    """They may hold its tasks, but no more than they are large: the rest of its share is free."""
+
+    async def main() -> None:
+        owner = _owner_of(0, 50)
+        hold = owner.workers.parts[0]
+        owner.split.teams.known = {"free": Team("free", cpus_max=600.0)}  # 200 for each part
+        owner.split.parts.work[0].settled = not unheard
+        for number in range(unheard):
+            name = f"i-{number * 3:06d}"
+            owner.workers._add(name, "big", "a", False, "10.1.0.1:9000")
+            hold.suspects.add(name)
+        assert owner.split.teams.room(0, _spec(1, 2.0)) == room
+        owner.fleet.types.clear()
+        for machine in owner.workers.machines.values():
+            machine.kind = None
+        assert owner.split.teams.room(0, _spec(1, 2.0)) == (0 if unheard else room)
+
+    trio.run(main, clock=trio.testing.MockClock())
+
+
+def test_record_of_a_part_takes_few_writes() -> None:
+    """310 machines stand in it before their first task: in chunks, ahead of progress."""
+
+    async def main() -> None:
+        owner, written = _owner_of(0, 50), []
+
+        async def commit(conditions: Any, changes: Any, *, priority: int) -> bool:
+            assert priority < tokens.ACCEPTANCES
+            assert all(len(c.value) <= 8192 for c in changes)
+            written.extend(changes)
+            return True
+
+        owner.book.commit = commit  # type: ignore[method-assign]
+        for number in range(0, 930, 3):
+            await owner.workers.serve(_report(number, 1, 50, []))
+        await owner.workers.records._write(owner.workers.parts[0])
+        assert len(written) <= 8
+        assert all(m.recorded for m in owner.workers.machines.values())
+
+    trio.run(main, clock=trio.testing.MockClock())
+
+
 def test_part_lost_while_a_gang_is_given_back(monkeypatch: pytest.MonkeyPatch) -> None:
     """inc-4c83: the write took its time, the part went, and the whole round was lost."""
 
