--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from .sim import NODES, Sim, job, run
+from .sim import NODES, TIMES, Sim, job, run
 
 Fault = Callable[[Sim], Awaitable[None]]
 
@@ -228,6 +228,79 @@
     await trio.sleep(5)
 
 
+async def machines_hang_and_go_on(sim: Sim) -> None:
+    """Nothing gets in or out of half of the machines for longer than a lease, twice."""
+    names = list(sim.world.workers)[::2]
+    for _ in range(2):
+        for name in names:
+            sim.network.cut(name, "*")
+            sim.network.cut("*", name)
+        await trio.sleep(TIMES.lease_s * 1.3)
+        sim.network.heal()
+        await trio.sleep(1.5)
+
+
+async def machines_hang_and_owner_ends(sim: Sim) -> None:
+    """As before, with a takeover in the midst of it, and the old owner back at once."""
+    names = list(sim.world.workers)[::2]
+    for name in names:
+        sim.network.cut(name, "*")
+        sim.network.cut("*", name)
+    await trio.sleep(2)
+    sim.kill("n1")
+    await trio.sleep(0.3)
+    sim.start("n1")
+    await trio.sleep(1.5)
+    sim.kill("n0")
+    await trio.sleep(TIMES.lease_s)
+    sim.network.heal()
+    await trio.sleep(1)
+    sim.start("n0")
+
+
+async def zone_cut_with_a_controller(sim: Sim) -> None:
+    """A zone's machines and a controller hear one another, and nobody else."""
+    inside = {"n0"} | {n for n, w in sim.world.workers.items() if w.zone == "a"}
+    outside = {"n1", "n2", "state", "cloud"} | {
+        n for n, w in sim.world.workers.items() if w.zone != "a"
+    }
+    for a in inside:
+        for b in outside:
+            sim.network.cut(a, b)
+    await trio.sleep(TIMES.lease_s * 1.5)
+
+
+async def most_machines_die(sim: Sim) -> None:
+    for name in list(sim.world.workers)[:-1]:
+        sim.world.workers.pop(name).vanish()
+    await trio.sleep(5)
+
+
+async def all_end_twice(sim: Sim) -> None:
+    """Again before the first restart has settled, in an outage, with late copies."""
+    sim.network.late = {("user", n): 4.0 for n in NODES}
+    sim.state.stop()
+    sim.kill()
+    await trio.sleep(3)
+    sim.start()
+    sim.state.resume()
+    await trio.sleep(2)
+    sim.kill()
+    await trio.sleep(0.2)
+    sim.start()
+
+
+async def cut_off_with_workers_and_ends(sim: Sim) -> None:
+    """Only its workers are left to a controller; then it ends, and is back at once."""
+    for other in ("state", "n1", "n2"):
+        sim.network.cut("n0", other)
+    await trio.sleep(6)
+    sim.kill("n0")
+    await trio.sleep(0.2)
+    sim.start("n0")
+    await trio.sleep(10)
+
+
 FAULTS: list[Fault] = [
     nothing, kill_one, kill_all, roll, quick_restart, cut_from_state, cut_from_workers,
     cut_from_peers, cut_from_all, lost_answers, late_copies, state_outage,
@@ -235,7 +308,9 @@
     unlisted_machine, sick_machine, deaf_machine, deaf_machine_and_takeover,
     copies_within_a_second, copies_after_takeovers, copies_of_lost_machines,
     alone_with_workers, quick_restarts_in_elections, quick_restarts_of_all,
-    machines_back_at_once,
+    machines_back_at_once, machines_hang_and_go_on, machines_hang_and_owner_ends,
+    zone_cut_with_a_controller, most_machines_die, all_end_twice,
+    cut_off_with_workers_and_ends,
 ]
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -200,6 +200,37 @@
     trio.run(main)
 
 
+def test_hundreds_come_at_once() -> None:
+    """Another controller has ended, and all its workers are here in one moment."""
+
+    async def main() -> None:
+        server = Server(_echo, max_connections=500, idle=30, request_time=2,
+                        vital=frozenset({"/v1/report"}))
+        answered = 0
+
+        async def worker(port: int) -> None:
+            nonlocal answered
+            sock = trio.socket.socket()
+            with sock:
+                await sock.connect(("127.0.0.1", port))
+                await sock.send(VITAL)
+                assert (await sock.recv(4096)).startswith(b"HTTP/1.1 200")
+                answered += 1
+                while answered < 300:  # all are open at the same time
+                    await trio.sleep(0.01)
+
+        async with trio.open_nursery() as nursery:
+            port = await _listening(nursery, server)
+            with trio.fail_after(60):
+                async with trio.open_nursery() as workers:
+                    for _ in range(300):
+                        workers.start_soon(worker, port)
+            assert answered == 300
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_idle_connections_to_many_hosts_are_bounded() -> None:
     """One was kept for each machine ever told to stop a task, until it was told again."""
 
