--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -75,7 +75,6 @@
         self.count = settings.deployment.count
         self.report_s = settings.deployment.workers.report_s
         self.estimates = Estimates()
-        self.waited = 0.0  # by the splitting loop for its writes, since it began
         self.wake = trio.Event()
         # S in task-seconds per task-second: from far below any real queue upward.
         self.stretches = stretch.samples(2.0**-12, 2.0**3, int(policy.stretch_samples))
@@ -220,15 +219,9 @@
         record = msgspec.structs.replace(job.record, ranges=ranges, **more)
         if not job.chunked:
             record.finished = job.finished.text()
-        return await self.write({key: job.version, **guard}, Write(key, encode(record)), priority)
-
-    async def write(self, conditions: dict[str, int], change: Write, priority: int) -> bool:
-        """A write of the splitting loop's; the wait for it is no work to rest from."""
-        at = trio.current_time()
-        try:
-            return await self.book.commit(conditions, [change], priority=priority)
-        finally:
-            self.waited += trio.current_time() - at
+        return await self.book.commit(
+            {key: job.version, **guard}, [Write(key, encode(record))], priority=priority
+        )
 
     async def read_back(self, error: StoreDown) -> None:
         """After a commit without an answer, nothing goes on until the store has told."""
@@ -271,7 +264,7 @@
         spent = 0.0
         while True:
             await trio.sleep(max(0.2, min(self.report_s, spent * _REST)))
-            at, waited = trio.current_time(), self.waited
+            at = trio.current_time()
             try:
                 if self.members.leading is not None:
                     await self._assign()
@@ -279,7 +272,7 @@
                 await self.levelling.rebalance()
                 await self.levelling.level()
                 await self.teams.move_shares()
-                spent = trio.current_time() - at - (self.waited - waited)
+                spent = min(self.report_s, trio.current_time() - at)
             except StoreDown as error:
                 log.debug("split not written: %s", error)
                 await trio.sleep(0.3)
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -312,7 +312,9 @@
         }
         self.giving[(part, team.name)] = give
         try:
-            await self.split.write(conditions, Write("pt/shares", value), tokens.ACCEPTANCES)
+            await self.book.commit(
+                conditions, [Write("pt/shares", value)], priority=tokens.ACCEPTANCES
+            )
         except StoreDown as error:
             await self.split.read_back(error)
         finally:
