Evidence by the question that obtained it; cancellations passed on as committed facts

Found by reading: the age of a peer's copy was paired with another message's time, beats had no order, a peer told what it had learned for a limited time only, a job heard of as cancelled was blocked but stayed open in the copy (a part loaded or settled later began its tasks again), and a restarted peer vouched for what its predecessor had taken. Now evidence.py holds pure functions of answers to our own heartbeats; a heartbeat names the revision of its sender's copy and is answered with every cancellation newer than that, which goes into the copy by its version; heartbeats are ordered by incarnation and number; blind is checked against cancel_s; a report that only earns our token is answered with the stops of jobs that are over; our node record is written conditionally.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -23,7 +23,7 @@
 from . import jobs
 from .jobs import Book, Job, Record
 from .machines import need_of
-from .members import Members
+from .members import Cancellation, Members
 from .rooms import fits
 from .split import Split
 from .workers import Workers
@@ -474,7 +474,10 @@
                     break
                 self.replica.own([change], revision)
                 if self.nursery is not None:
-                    self.nursery.start_soon(self.members.tell_cancelled, id)
+                    self.nursery.start_soon(
+                        self.members.tell_cancelled,
+                        Cancellation(id, revision, final.tasks, final.count),
+                    )
                 job = self.book.jobs[id]
             if not job.open:
                 return self.view(job)
--- /dev/null
+++ b/pitchtally/control/evidence.py
@@ -0,0 +1,99 @@
+"""What a controller may conclude from what it has heard: pure functions of evidence and its age.
+
+Silence proves nothing. What counts is an answer to a question of our own, and it counts
+from the moment at which we asked: whatever the answer holds was so at that moment or
+later, however long the question or the answer was under way. A message that came on its
+own has no such moment; a cut may have held it for minutes.
+
+The deadlines of a cancellation are worked out here too, and nowhere else. Confirmed at
+c, the job's tasks must be gone by c + `cancel_s`. An owner that has not heard of it can
+have been sure of all cancellations up to c at the latest, so it renews leases until
+c + `blind` at most; and a worker counts its lease from when it *sent* the report, which
+was no later. So every task is gone by c + `blind` + `lease_s`, plus drift and the
+worker's own timer: `blind_most` is the largest `blind` that keeps this within `cancel_s`.
+
+An owner that has heard of it needs no deadline of its own: every answer that renews a
+lease carries a kill for each listed task whose job is over (`Workers.serve`). A worker
+that gets the answer ends the task; one that doesn't ends it with its lease.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..settings import WorkerTimes
+
+# Steady clocks drift by up to 0.05 %, each of two; the rest covers timers that fire late.
+DRIFT = 1.002
+
+NEVER = 1e6  # the age that a controller tells which hasn't read the store since it began
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A peer's answer to a heartbeat of ours."""
+
+    asked_at: float  # when we sent the question
+    store_age: float  # how old the peer's copy of the store was as it answered
+
+    @property
+    def has_read(self) -> bool:
+        return self.store_age < NEVER
+
+    @property
+    def store_at(self) -> float:
+        """A moment at which the store was as the peer's answer shows it, or later."""
+        return self.asked_at - self.store_age
+
+
+def all_asked_at(answers: Iterable[Answer | None]) -> float | None:
+    """When we had asked every peer, each of which then told what it knows; None if one hasn't.
+
+    A peer that has not read the store since it began doesn't know what its predecessor
+    confirmed or took, and so says nothing.
+    """
+    found = list(answers)
+    if not found or not all(a is not None and a.has_read for a in found):
+        return None
+    return min(a.asked_at for a in found if a is not None)
+
+
+def cancellations_known(copy_at: float, answers: Iterable[Answer | None]) -> float:
+    """Up to when no confirmed cancellation can be unknown to us.
+
+    Our copy shows what was committed by `copy_at`. A peer's answer holds every
+    cancellation in its copy that is newer than ours: all up to when that read the store.
+    Without the store, all peers' answers together: each holds what it confirmed itself,
+    and nobody else confirms.
+    """
+    found = list(answers)
+    known = max([copy_at, *(a.store_at for a in found if a is not None and a.has_read)])
+    asked = all_asked_at(found)
+    return known if asked is None else max(known, asked)
+
+
+def owned_alone(copy_at: float, answers: Iterable[Answer | None]) -> float:
+    """Up to when nobody else can have renewed a lease in a part that we hold.
+
+    The store showed the part as ours, or every peer told the newest owner it knows of:
+    its predecessor's takeovers too, since it has read the store after that one's end.
+    """
+    asked = all_asked_at(answers)
+    return copy_at if asked is None else max(copy_at, asked)
+
+
+def timer(times: WorkerTimes) -> float:
+    """What a worker may take to notice that its lease is over."""
+    return times.report_s / 4
+
+
+def lease_over(answered_at: float, times: WorkerTimes) -> float:
+    """When a machine's lease has ended for certain, if we last answered it then."""
+    return answered_at + times.lease_s * DRIFT + timer(times)
+
+
+def blind_most(times: WorkerTimes) -> float:
+    """The longest that an owner may renew leases without news of cancellations."""
+    return (times.cancel_s - timer(times)) / DRIFT - times.lease_s * DRIFT
+
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -21,7 +21,7 @@
 from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
 from .jobs import Book
 from .machines import need_of
-from .members import Beat, MachineNote, Members, part_of
+from .members import Heartbeat, MachineNote, Members, part_of
 from .rooms import fits, group_ok, times
 from .split import Split
 from .workers import Workers
@@ -544,7 +544,7 @@
     def drain_names(self) -> list[str]:
         return list(self.drain)
 
-    def take_beat(self, beat: Beat) -> None:
+    def take_beat(self, beat: Heartbeat) -> None:
         """What the leader says about machines of ours."""
         for name in beat.released:
             if name not in self.workers.released or name in self.workers.machines:
--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import base64
+import bisect
 import logging
 from collections.abc import Callable, Iterable, Iterator
 
@@ -136,7 +137,7 @@
         self.watchers: list[Watcher] = []
         self.dirty: set[str] = set()
         self.wake = trio.Event()
-        self.cancelled: dict[str, float] = {}  # id -> when this node learned of it
+        self.cancelled: list[tuple[int, str]] = []  # (version, id) of every one, in that order
         self.early: dict[str, list[tuple[str, bytes]]] = {}  # chunks read before their record
         # base64 turns 3 bytes into 4; half the value is left for the rest.
         self.chunk = int(store.limits.value_kb * 1024 * 8 * 3 / 4 / 2) // 8 * 8
@@ -169,7 +170,7 @@
             job.finished = Bits(0)
             job.local.clear()
             if record.stage == CANCELLED and (old is None or old.stage == OPEN):
-                self.cancelled[id] = trio.current_time()
+                bisect.insort(self.cancelled, (version, id))
         for watcher in self.watchers:
             watcher(job, old)
 
@@ -185,6 +186,27 @@
             self._join_chunk(job, number, value)
             self._settle_local(job)
 
+    def cancelled_after(self, revision: int) -> list[tuple[str, int, int, int]]:
+        """Every cancellation that a copy of that revision can't show: (id, version, tasks, done).
+
+        By version, not by when we heard of it: a peer may have been deaf for any time.
+        """
+        first = bisect.bisect_right(self.cancelled, (revision + 1, ""))
+        return [
+            (id, version, record.tasks, record.count)
+            for version, id in self.cancelled[first:]
+            if (record := self.jobs[id].record).stage == CANCELLED
+        ]
+
+    def learn_cancelled(self, id: str, version: int, tasks: int, done: int) -> None:
+        """A peer tells of a committed cancellation, perhaps before the watch shows it.
+
+        Into the copy with it, as the watch would put it there: whatever asks about the job
+        from now on, a part that is loaded or settled later too, finds it over.
+        """
+        final = Record(CANCELLED, tasks, count=done)
+        self.replica.learn(f"pt/jobs/{id}", encode(final), version)
+
     @staticmethod
     def _join_chunk(job: Job, number: str, value: bytes) -> None:
         job.finished.join(base64.b64decode(_decode_text(value)), int(number) * job.chunk // 8)
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -21,11 +21,11 @@
 from ..policy import Policy
 from ..settings import Settings, host_port
 from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
+from .evidence import NEVER, Answer, cancellations_known, owned_alone
 
 log = logging.getLogger("members")
 
 LEADER_PART = 0
-_NEVER = 1e6  # the age that a node tells which hasn't read the store yet
 
 
 def part_of(machine: str, count: int) -> int:
@@ -86,19 +86,32 @@
     use: dict[str, tuple[float, float]] = {}  # team -> CPUs and GPUs in use here
 
 
-class Beat(Struct, array_like=True, tag="beat"):
+class Cancellation(Struct, array_like=True, frozen=True):
+    """A committed cancellation: all that a copy of the store needs to show it."""
+
+    job: str
+    version: int  # of the job's record, as committed
+    tasks: int
+    done: int
+
+
+class Heartbeat(Struct, array_like=True, tag="heartbeat"):
+    """What a node knows, sent to each peer and given back as the answer."""
+
     node: str
     incarnation: str
+    number: int  # orders the heartbeats of one incarnation
+    seen: int  # the revision that our copy of the store covers
     store_age: float
-    cancels: list[str]
+    cancellations: list[Cancellation]  # that the receiver's copy can't show yet
     parts: list[PartNote]
     released: list[str]
     drain: list[str]
-    holds: list[tuple[int, int]] = []  # parts owned, with their tokens
+    tokens: list[tuple[int, int]] = []  # the newest fencing token known of each part
 
 
 class Cancelled(Struct, array_like=True, tag="cancelled"):
-    job: str
+    cancellation: Cancellation
 
 
 class Forward(Struct, array_like=True, tag="forward"):
@@ -119,7 +132,7 @@
     pass
 
 
-Message = Beat | Cancelled | Forward | Forwarded | Ack
+Message = Heartbeat | Cancelled | Forward | Forwarded | Ack
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
 
@@ -128,10 +141,36 @@
     def __init__(self, name: str, address: str):
         self.name = name
         self.address = host_port(address)
-        self.beat: Beat | None = None
-        self.heard_at = -1e9  # a request sent at this time was answered
+        self.answer: Answer | None = None  # the newest to a heartbeat of ours
         self.told_at = -1e9  # when it last had our notes, as it answered
         self.failing = ""
+        self.incarnation = ""
+        self.past: set[str] = set()  # earlier incarnations, whose messages may still come
+        self.number = -1  # of the newest heartbeat taken in
+        self.seen = -1  # the revision that its copy covers
+
+    @property
+    def heard_at(self) -> float:
+        """A question sent at this time was answered."""
+        return -1e9 if self.answer is None else self.answer.asked_at
+
+    def renews(self, beat: Heartbeat, answer: bool, listed: str) -> bool:
+        """Whether a heartbeat is newer than all that were taken in, and takes it for that.
+
+        A cut may hold one back and deliver it after newer ones, of the next incarnation
+        too. Which of two incarnations is the later, only an answer to a question of ours
+        can tell, or the store.
+        """
+        if beat.incarnation != self.incarnation:
+            later = answer or not self.incarnation or beat.incarnation == listed
+            if beat.incarnation in self.past or not later:
+                return False
+            self.past.add(self.incarnation)
+            self.incarnation = beat.incarnation
+        elif beat.number <= self.number:
+            return False
+        self.number, self.seen = beat.number, beat.seen
+        return True
 
 
 class Members:
@@ -158,15 +197,17 @@
         self.started_at = trio.current_time()
         self._tick_at = self.started_at
         self._stood_at = -1e9
+        self._sent = 0  # heartbeats
+        # What was known for certain once stays so, also when whoever told it is gone.
+        self._sure_at = -1e9
+        self._owned_at = -1e9
         # Filled in by the service.
         self.on_gain: Callable[[int, int], None] = lambda part, token: None
         self.on_loss: Callable[[int], None] = lambda part: None
-        self.on_cancel: Callable[[str], None] = lambda job: None
+        self.on_cancel: Callable[[Cancellation], None] = lambda cancellation: None
         self.on_forward: Callable[[Request], Awaitable[Response]]
-        self.on_beat: Callable[[Beat], None] = lambda beat: None
-        self.compose: Callable[[], Beat] = lambda: Beat(
-            self.me, self.incarnation, 0.0, [], [], [], []
-        )
+        self.on_beat: Callable[[Heartbeat], None] = lambda beat: None
+        self.fill_in: Callable[[Heartbeat, int], None] = lambda beat, seen: None
         replica.listen("parts/", self._on_part)
         replica.listen("nodes/", self._on_node)
 
@@ -231,33 +272,19 @@
             self._announce(part)
 
     def sure_at(self) -> float:
-        """Up to when no cancellation can be unknown to this node.
-
-        A peer that reaches the store passes on what was cancelled. Without the store,
-        only an answer from *every* peer tells as much: each names what it cancelled
-        itself, provided it has read the store since it began, and nobody else can
-        cancel. A peer that can't be heard may be committing cancellations right now,
-        so its silence moves nothing.
-        """
-        sure = self.replica.fresh_at
-        for peer in self.peers.values():
-            if peer.beat is not None:
-                sure = max(sure, peer.heard_at - peer.beat.store_age)
-        if self.peers and all(p.beat and p.beat.store_age < _NEVER for p in self.peers.values()):
-            sure = max(sure, min(p.heard_at for p in self.peers.values()))
-        return sure
+        """Up to when no confirmed cancellation can be unknown to this node."""
+        known = cancellations_known(self.replica.fresh_at, self._answers())
+        self._sure_at = max(self._sure_at, known)
+        return self._sure_at
 
     def owned_at(self) -> float:
-        """Up to when nobody else can have renewed a machine of a part that we hold.
+        """Up to when nobody else can have renewed a machine of a part that we hold."""
+        owned = owned_alone(self.replica.fresh_at, self._answers())
+        self._owned_at = max(self._owned_at, owned)
+        return self._owned_at
 
-        The store has shown by then that the part is still ours; or every peer has told
-        what it holds, asked then, and this isn't among it. What a peer takes later it
-        can't have used before.
-        """
-        sure = self.replica.fresh_at
-        if self.peers and all(p.beat is not None for p in self.peers.values()):
-            sure = max(sure, min(p.heard_at for p in self.peers.values()))
-        return sure
+    def _answers(self) -> list[Answer | None]:
+        return [peer.answer for peer in self.peers.values()]
 
     def sure_leader(self) -> int | None:
         """The leader's token, None as well if another may have taken the lead by now.
@@ -298,27 +325,37 @@
         while True:
             try:
                 if self.lease is None:
-                    lease = await self.store.grant(ttl)
-                    await self._write_node(lease)
-                    self.lease = lease
+                    self.lease = await self.store.grant(ttl)
                 else:
                     await self.store.renew(self.lease)
-                    node = self.alive.get(self.me)
-                    if node is None or node.deaf != self.deaf:
-                        await self._write_node(self.lease)
+                if self.replica.seen < 0:
+                    # What stands in our place, if anything, isn't known yet.
+                    await trio.sleep(ttl / 20)
+                    continue
+                node = self.alive.get(self.me)
+                if node is None or node != Node(self.incarnation, self.deaf):
+                    await self._write_node(self.lease)
             except NoLease:
                 self.lease = None
                 continue
-            except (StoreDown, Conflict) as error:
+            except Conflict:
+                # The watch has yet to show what is there: a predecessor's record, or its end.
+                await trio.sleep(ttl / 20)
+                continue
+            except StoreDown as error:
                 log.debug("lease: %s", error)
                 await trio.sleep(ttl / 20)
                 continue
             await trio.sleep(ttl / 3)
 
     async def _write_node(self, lease: int) -> None:
+        """Our record, conditional on the one before: a late write of ours changes nothing."""
+        key = f"pt/nodes/{self.me}"
         value = msgspec.json.encode(Node(self.incarnation, self.deaf))
-        changes = [Write(f"pt/nodes/{self.me}", value, lease)]
-        revision = await self.store.commit({}, changes, priority=tokens.LEASES)
+        changes = [Write(key, value, lease)]
+        revision = await self.store.commit(
+            {key: self.replica.version(key)}, changes, priority=tokens.LEASES
+        )
         self.replica.own(changes, revision)
 
     def set_deaf(self, deaf: bool) -> None:
@@ -340,7 +377,9 @@
             with trio.move_on_after(self.policy.beat):
                 await self.wake.wait()
             self.wake = trio.Event()
-            if self.replica.seen < 0 or self.lease is None:
+            node = self.alive.get(self.me)
+            if self.replica.seen < 0 or node is None or node.incarnation != self.incarnation:
+                # What stands there may still be a predecessor's.
                 await trio.sleep(0.05)
                 continue
             # At a start of all nodes at once, each leaves the others time to appear.
@@ -371,13 +410,25 @@
 
     # --- peers -------------------------------------------------------------------
 
+    def compose(self, seen: int) -> Heartbeat:
+        """Our heartbeat for a peer whose copy of the store covers that revision."""
+        self._sent += 1
+        age = min(NEVER, trio.current_time() - self.replica.fresh_at)
+        beat = Heartbeat(self.me, self.incarnation, self._sent, self.replica.seen, age,
+                         [], [], [], [])
+        beat.tokens = [(part, token) for part, (_, token) in self.owners.items()]
+        self.fill_in(beat, seen)
+        return beat
+
     async def run_beats(self, peer: Peer) -> None:
         while True:
             sent = trio.current_time()
-            reply = await self.send(peer, self.compose())
-            if isinstance(reply, Beat):
-                peer.heard_at = peer.told_at = sent
-                self._take_beat(reply)
+            reply = await self.send(peer, self.compose(peer.seen))
+            if isinstance(reply, Heartbeat) and reply.node == peer.name:
+                self._take_beat(reply, answer=True)
+                # Only now: what it tells is known here from this moment on.
+                peer.answer = Answer(sent, reply.store_age)
+                peer.told_at = sent
             await trio.sleep(self.policy.beat)
 
     async def send(self, peer: Peer, message: Message) -> Message | None:
@@ -409,8 +460,9 @@
         now = trio.current_time()
         limit = self.policy.session_ttl
         for peer in self.peers.values():
-            if peer.beat and not peer.failing and (
-                now - peer.heard_at < limit and peer.beat.store_age < limit
+            answer = peer.answer
+            if answer is not None and not peer.failing and (
+                now - answer.asked_at < limit and answer.store_age < limit
             ):
                 return peer
         return None
@@ -426,11 +478,15 @@
         headers = [("Retry-After", found.retry_after)] if found.retry_after else []
         return Response(found.status, found.body, headers)
 
-    async def tell_cancelled(self, job: str) -> None:
-        """Owners that lost only the store must still stop the job's tasks."""
+    async def tell_cancelled(self, cancellation: Cancellation) -> None:
+        """Owners that lost only the store must still stop the job's tasks.
+
+        Sent once, for speed alone: each heartbeat repeats it until the peer's own copy
+        covers it, and an owner that hears none of them stops renewing leases.
+        """
         async with trio.open_nursery() as nursery:
             for peer in self.peers.values():
-                nursery.start_soon(self.send, peer, Cancelled(job))
+                nursery.start_soon(self.send, peer, Cancelled(cancellation))
 
     async def serve(self, request: Request) -> Response:
         try:
@@ -438,16 +494,18 @@
         except msgspec.MsgspecError:
             return Response(400, b"")
         reply: Message = Ack()
-        if isinstance(message, Beat):
-            self._take_beat(message)
-            reply = self.compose()
+        if isinstance(message, Heartbeat):
+            self._take_beat(message, answer=False)
+            # What it asks rests on its own words, not on what we remember of it: the
+            # answer holds every cancellation newer than the copy that it had as it asked.
+            reply = self.compose(message.seen)
             peer = self.peers.get(message.node)
             if peer is not None and trio.current_time() - peer.told_at < self.policy.beat * 1.5:
                 # Our own beats bring it our notes, by far the most of a message; where they
                 # are refused, this answer must.
                 reply.parts = []
         elif isinstance(message, Cancelled):
-            self.on_cancel(message.job)
+            self.on_cancel(message.cancellation)
         elif isinstance(message, Forward):
             found = await self.on_forward(
                 Request(message.method, message.path, {}, message.body)
@@ -455,16 +513,18 @@
             reply = Forwarded(found.status, found.body, dict(found.headers).get("Retry-After", ""))
         return Response(200, _encode(reply), type="application/msgpack")
 
-    def _take_beat(self, beat: Beat) -> None:
+    def _take_beat(self, beat: Heartbeat, *, answer: bool) -> None:
         peer = self.peers.get(beat.node)
         if peer is None:
             return
-        peer.beat = beat
-        for part, token in beat.holds:
+        # Tokens and cancellations are committed: true however late they come.
+        for part, token in beat.tokens:
             mine = self.token(part)
             if mine is not None and token > mine:
                 # Our copy of the store is behind, or cut off from it.
                 self.fenced(part, token)
-        for job in beat.cancels:
-            self.on_cancel(job)
-        self.on_beat(beat)
+        for cancellation in beat.cancellations:
+            self.on_cancel(cancellation)
+        listed = self.alive.get(beat.node)
+        if peer.renews(beat, answer, listed.incarnation if listed else ""):
+            self.on_beat(beat)
--- a/pitchtally/control/notes.py
+++ b/pitchtally/control/notes.py
@@ -11,7 +11,7 @@
 from . import stretch
 from .holdings import PartWork
 from .machines import Group, Machine, Need, need_of
-from .members import Beat, MachineNote, PartNote
+from .members import Heartbeat, MachineNote, PartNote
 from .rooms import (
     fits,
     group_ok,
@@ -40,7 +40,7 @@
         self.groups: dict[int, dict[Group, list[MachineNote]]] = {}  # see `groups_of`
         self.matrix_at = -1e9
 
-    def take_beat(self, beat: Beat) -> None:
+    def take_beat(self, beat: Heartbeat) -> None:
         for note in beat.parts:
             owner = self.members.owner(note.part)
             if owner != beat.node:
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -128,11 +128,6 @@
         holding.rebuild()
         return True
 
-    def halt(self, id: str) -> None:
-        """A peer says the job is cancelled: nothing of it starts here any more."""
-        for work in self.work.values():
-            work.blocked.add(id)
-
     def done(self, placement: Placement, ran: float) -> None:
         self.split.estimates.learn(placement.spec, ran)
         work = self.work.get(placement.machine.part)
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -14,7 +14,7 @@
 from .api import Acceptances, Api
 from .fleet import Fleet
 from .jobs import Book
-from .members import _NEVER, Beat, Members
+from .members import Cancellation, Heartbeat, Members
 from .split import Split
 from .workers import Workers
 
@@ -64,10 +64,10 @@
 
         members.on_gain = gained
         members.on_loss = workers.drop_part
-        members.on_cancel = self._cancelled
+        members.on_cancel = lambda c: self.book.learn_cancelled(c.job, c.version, c.tasks, c.done)
         members.on_beat = self._beat
         members.on_forward = self.api.local
-        members.compose = self._compose
+        members.fill_in = self._fill_in
         workers.on_lost_part = split.parts.lost
         workers.on_loaded = split.parts.loaded
         workers.on_settled = split.parts.settled
@@ -76,32 +76,16 @@
         workers.adopt = split.parts.adopt
         workers.fill = split.placing.fill
 
-    def _cancelled(self, id: str) -> None:
-        """Heard from a peer, perhaps before the watch shows it: stop the tasks at once."""
-        job = self.book.jobs.get(id)
-        if job is not None and job.open:
-            self.split.parts.halt(id)
-            self.workers.stop_job(id)
-
-    def _beat(self, beat: Beat) -> None:
+    def _beat(self, beat: Heartbeat) -> None:
         self.split.notes.take_beat(beat)
         self.fleet.take_beat(beat)
 
-    def _compose(self) -> Beat:
-        now = trio.current_time()
-        keep = self.settings.deployment.workers.cancel_s * 2
-        for id in [i for i, at in self.book.cancelled.items() if now - at > keep]:
-            del self.book.cancelled[id]
-        return Beat(
-            self.members.me,
-            self.members.incarnation,
-            min(_NEVER, now - self.replica.fresh_at),
-            list(self.book.cancelled),
-            self.split.notes.own(),
-            self.fleet.released_names(),
-            self.fleet.drain_names(),
-            list(self.members.held.items()),
-        )
+    def _fill_in(self, beat: Heartbeat, seen: int) -> None:
+        """What the slices have to tell a peer whose copy covers that revision."""
+        beat.cancellations = [Cancellation(*row) for row in self.book.cancelled_after(seen)]
+        beat.parts = self.split.notes.own()
+        beat.released = self.fleet.released_names()
+        beat.drain = self.fleet.drain_names()
 
     async def run(self) -> None:
         times = self.settings.deployment.workers
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -20,6 +20,7 @@
 from ..policy import Policy
 from ..settings import Settings
 from ..store import Replica
+from .evidence import lease_over
 from .jobs import Book
 from .machines import UNHEEDED, Group, Load, Machine, PartHold, Placement
 from .members import Members, part_of
@@ -28,9 +29,6 @@
 
 log = logging.getLogger("workers")
 
-# Steady clocks drift by up to 0.05 %; the rest covers timers that fire late.
-DRIFT = 1.002
-
 _report = msgspec.json.Decoder(wire.Report)
 encode = msgspec.json.encode
 
@@ -240,7 +238,9 @@
             # from this report, which it sent before that answer.
             if known is not None:
                 known.answered_at = max(known.answered_at, known.heard_at)
-            return Response(200, encode(wire.Orders(token, [])))
+            # The answer renews the lease, so it carries the stops for jobs that are over: of
+            # those nothing is wanted, whichever attempt it is and however old the report.
+            return Response(200, encode(wire.Orders(token, self._ends(report))))
         machine.reported = (report.session, report.seq)
         orders = self._orders(machine, report)
         machine.asked = [o for o in orders if o.op != wire.STOP]
@@ -363,6 +363,8 @@
             if placement_ is not None and placement_.attempt != task_.attempt:
                 placement_ = None
             if task_.state == wire.EXITED:
+                if key.rpartition("/")[0] not in self.book.jobs:
+                    continue  # our copy may be behind: the result stays where it is
                 if key not in machine.exits:
                     machine.exits[key] = (task_.attempt, task_.cause or "")
                     if placement_ is None:
@@ -455,6 +457,13 @@
         orders += [wire.Order(wire.STOP, k, n, 0.0) for k, n in machine.orphans.items()]
         return orders
 
+    def _ends(self, report: wire.Report) -> list[wire.Order]:
+        return [
+            wire.Order(wire.STOP, task.task, task.attempt, 0.0)
+            for task in report.tasks
+            if task.state != wire.EXITED and self._over(task.task)
+        ][:500]
+
     def _forgets(self, machine: Machine) -> list[wire.Order]:
         orders = []
         for key, (attempt, cause) in machine.exits.items():
@@ -517,7 +526,6 @@
         while True:
             await trio.sleep(self.times.report_s / 4)
             now = trio.current_time()
-            lease = self.times.lease_s * DRIFT + self.times.report_s / 4
             owned = self.members.owned_at()
             stood = self.members.stood_at()
             for machine in list(self.machines.values()):
@@ -526,7 +534,9 @@
                     continue
                 silent = now - max(machine.heard_at, stood)
                 held = not machine.lost or machine.placements
-                if machine.confirmed and held and owned - machine.answered_at > lease:
+                if machine.confirmed and held and owned > lease_over(
+                    machine.answered_at, self.times
+                ):
                     log.info("lease over machine=%s tasks=%d", machine.name,
                              len(machine.placements))
                     # Only our answers could renew, and none has for a whole lease. Cut off
--- a/pitchtally/policy.py
+++ b/pitchtally/policy.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 from typing import Any
 
+from .control.evidence import blind_most
 from .settings import Settings, SettingsError
 
 # name: (default expression, lowest, highest, what it sets)
@@ -204,7 +205,15 @@
         given.add(name)
         sources[name] = (expression, f"{file}:{number}")
     evaluator = _Evaluator(settings, sources)
-    return Policy({name: evaluator.figure(name) for name in FIGURES})
+    policy = Policy({name: evaluator.figure(name) for name in FIGURES})
+    most = blind_most(settings.deployment.workers)
+    if policy.blind > most:
+        # Renewed until then, a lease would keep cancelled tasks beyond what users are told.
+        raise PolicyError(
+            f"{sources['blind'][1]}: blind: {policy.blind:g} s and a lease go beyond cancel_s,"
+            f" at most {most:g}"
+        )
+    return policy
 
 
 def load(path: str | Path | None, settings: Settings) -> Policy:
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -260,6 +260,10 @@
             if change.value is not None:
                 self._apply(change.key, change.value, revision)
 
+    def learn(self, key: str, value: bytes, version: int) -> None:
+        """A change that the store has committed, as a peer's copy shows it."""
+        self._apply(key, value, version)
+
     async def load(self) -> None:
         """Read everything; keys that vanished meanwhile are dropped."""
         found: set[str] = set()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,7 +14,7 @@
 from pitchtally import policy, tokens, wire
 from pitchtally.control.jobs import OPEN, Job, Record
 from pitchtally.control.machines import Placement
-from pitchtally.control.members import Beat, Owner, part_of
+from pitchtally.control.members import Heartbeat, Owner, part_of
 from pitchtally.control.rooms import share_of
 from pitchtally.control.service import Controller
 from pitchtally.http import Client, Request, Response, Server
@@ -356,8 +356,9 @@
         # Others' work beside it: no machine goes back for being idle.
         for number, team in ((1, "free"), (2, "free"), (3, "tight")):
             await sim.submit(job(number, rows=6, vcpus=1.0, crew=team, realS=400.0, ripenS=400.0))
-        await trio.sleep(4)
-        assert len(sim.world.rules.places) == 18
+        with trio.fail_after(10):
+            while len(sim.world.rules.places) < 18:
+                await trio.sleep(0.1)
         sim.kill("n1", "n2")
         await trio.sleep(gap)
         await sim.cancel("wk-000001")
@@ -490,9 +491,13 @@
     async def main() -> None:
         owner = _owner_of(1, 50)
         assert owner.members.token(1) == 50
-        owner.members._take_beat(Beat("n1", "x", 0.0, [], [], [], [], [(1, 49), (2, 80)]))
+        def told(number: int, tokens: list[tuple[int, int]]) -> None:
+            beat = Heartbeat("n1", "x", number, 0, 0.0, [], [], [], [], tokens)
+            owner.members._take_beat(beat, answer=False)
+
+        told(1, [(1, 49), (2, 80)])
         assert owner.members.token(1) == 50
-        owner.members._take_beat(Beat("n1", "x", 0.0, [], [], [], [], [(1, 60)]))
+        told(2, [(1, 60)])
         assert owner.members.token(1) is None
         assert 1 not in owner.workers.parts
 
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -10,7 +10,8 @@
 import trio.testing
 
 from pitchtally import policy
-from pitchtally.control.members import Beat, Members, part_of
+from pitchtally.control.evidence import Answer
+from pitchtally.control.members import Members, part_of
 from pitchtally.http import Request
 from pitchtally.store import Replica, Store
 
@@ -188,8 +189,7 @@
         members.replica.fresh_at = fresh
         for peer, heard in zip(members.peers.values(), peers, strict=True):
             if heard is not None:
-                peer.heard_at = heard[0]
-                peer.beat = Beat(peer.name, "x", heard[1], [], [], [], [])
+                peer.answer = Answer(heard[0], heard[1])
         assert members.sure_at() == sure
 
     trio.run(main, clock=trio.testing.MockClock())
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,7 +14,7 @@
 from pitchtally.control import jobs, members
 from pitchtally.control.api import Acceptances, Pending, parse_job
 from pitchtally.control.jobs import Bits, Job, Record
-from pitchtally.control.members import Beat, MachineNote, PartNote
+from pitchtally.control.members import Cancellation, Heartbeat, MachineNote, PartNote
 from pitchtally.control.service import Controller
 from pitchtally.store import Write
 
@@ -96,7 +96,9 @@
         PartNote(k, 10**12, True, 1.0, 1.0, [machine] * 310, matrix, waiting) for k in range(3)
     ]
     names = [f"i-{n:09d}" for n in range(930)]
-    return len(members._encode(Beat("n", "i", 1.0, list(waiting), parts, names, names)))
+    cancelled = [Cancellation(id, 10**12, 100_000, 100_000) for id in waiting]
+    told = Heartbeat("n", "i", 10**9, 10**12, 1.0, cancelled, parts, names, names)
+    return len(members._encode(told))
 
 
 LIMITS: list[tuple[Callable[[Controller], int], int]] = [
