Late transactions can't move what was kept back; stand-ins meet the cuts of the host that serves

Found by reading: after a commit without an answer (tasks to another part, a gang given back, a share of a limit) the store was read and all went on, yet the transaction may be carried out seconds later under an unchanged version: tasks started here and there, a share used twice. Now the key is written as it stands until its version has moved; whichever comes first, the other's condition fails. Stand-ins: calls that a controller made while serving a user were taken for the user's and met no cut. New: refusal of one controller, holding cuts, slow answers, late writes and reports, mute and hanging machines.

--- a/pitchtally/control/evidence.py
+++ b/pitchtally/control/evidence.py
@@ -36,15 +36,16 @@
 
     asked_at: float  # when we sent the question
     store_age: float  # how old the peer's copy of the store was as it answered
+    sure_age: float  # and the moment up to which it knew all cancellations
 
     @property
     def has_read(self) -> bool:
         return self.store_age < NEVER
 
     @property
-    def store_at(self) -> float:
-        """A moment at which the store was as the peer's answer shows it, or later."""
-        return self.asked_at - self.store_age
+    def sure_at(self) -> float:
+        """Up to when the peer knew every cancellation, at the least."""
+        return self.asked_at - self.sure_age
 
 
 def all_asked_at(answers: Iterable[Answer | None]) -> float | None:
@@ -63,12 +64,12 @@
     """Up to when no confirmed cancellation can be unknown to us.
 
     Our copy shows what was committed by `copy_at`. A peer's answer holds every
-    cancellation in its copy that is newer than ours: all up to when that read the store.
-    Without the store, all peers' answers together: each holds what it confirmed itself,
-    and nobody else confirms.
+    cancellation in its copy that is newer than ours: what it was sure of, we are, so two
+    that can't hear each other are told by the third. Without the store, all peers'
+    answers together: each holds what it confirmed itself, and nobody else confirms.
     """
     found = list(answers)
-    known = max([copy_at, *(a.store_at for a in found if a is not None and a.has_read)])
+    known = max([copy_at, *(a.sure_at for a in found if a is not None and a.has_read)])
     asked = all_asked_at(found)
     return known if asked is None else max(known, asked)
 
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -426,6 +426,7 @@
                     continue
                 holding.since = now
                 holding.moving = True
+                version = job.version
                 work.ready.discard(job.id)
                 try:
                     rest = [r for r in job.record.ranges if r[2] != part]
@@ -436,7 +437,7 @@
                         zone=job.record.zone if rest else None,
                     )
                 except StoreDown as error:
-                    await self.split.read_back(error)
+                    await self.split.settle_job(error, job, version, part, token)
                 finally:
                     holding.moving = False
                     if job.open:
--- a/pitchtally/control/levelling.py
+++ b/pitchtally/control/levelling.py
@@ -175,6 +175,7 @@
             return
         carved = holding.pool.carve(count)
         holding.moving = True
+        version = job.version
         try:
             ranges: list[tuple[int, int, int]] = []
             for a, b, p in job.record.ranges:
@@ -190,8 +191,8 @@
                 self.split.notes.owe(to, job.spec, count)
                 log.debug("gave job=%s tasks=%d from=%d to=%d", job.id, count, part, to)
         except StoreDown as error:
-            # Perhaps it was done: only the store can say whose the tasks are now.
-            await self.split.read_back(error)
+            # Perhaps it was done, or will be: until it can't, the tasks start nowhere.
+            await self.split.settle_job(error, job, version, part, token)
         finally:
             holding.moving = False
             if job.open:
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -103,6 +103,7 @@
     number: int  # orders the heartbeats of one incarnation
     seen: int  # the revision that our copy of the store covers
     store_age: float
+    sure_age: float  # since when cancellations may be unknown to the sender
     cancellations: list[Cancellation]  # that the receiver's copy can't show yet
     parts: list[PartNote]
     released: list[str]
@@ -413,9 +414,12 @@
     def compose(self, seen: int) -> Heartbeat:
         """Our heartbeat for a peer whose copy of the store covers that revision."""
         self._sent += 1
-        age = min(NEVER, trio.current_time() - self.replica.fresh_at)
-        beat = Heartbeat(self.me, self.incarnation, self._sent, self.replica.seen, age,
-                         [], [], [], [])
+        now = trio.current_time()
+        beat = Heartbeat(
+            self.me, self.incarnation, self._sent, self.replica.seen,
+            min(NEVER, now - self.replica.fresh_at), min(NEVER, now - self.sure_at()),
+            [], [], [], [],
+        )
         beat.tokens = [(part, token) for part, (_, token) in self.owners.items()]
         self.fill_in(beat, seen)
         return beat
@@ -427,7 +431,7 @@
             if isinstance(reply, Heartbeat) and reply.node == peer.name:
                 self._take_beat(reply, answer=True)
                 # Only now: what it tells is known here from this moment on.
-                peer.answer = Answer(sent, reply.store_age)
+                peer.answer = Answer(sent, reply.store_age, reply.sure_age)
                 peer.told_at = sent
             await trio.sleep(self.policy.beat)
 
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -25,7 +25,7 @@
 from . import stretch
 from .estimates import Estimates
 from .gangs import Gangs
-from .jobs import Book, Job, encode, merge
+from .jobs import OPEN, Book, Job, encode, merge
 from .levelling import Levelling
 from .machines import need_of
 from .members import Members, PartNote
@@ -223,15 +223,40 @@
             {key: job.version, **guard}, [Write(key, encode(record))], priority=priority
         )
 
-    async def read_back(self, error: StoreDown) -> None:
-        """After a commit without an answer, nothing goes on until the store has told."""
-        while error.unknown:
+    async def settle(
+        self, error: StoreDown, key: str, version: int, part: int, token: int,
+        value: Callable[[], bytes],
+    ) -> None:
+        """After a commit without an answer, nothing goes on until it can't happen any more.
+
+        To read the store isn't enough: a transaction may be carried out seconds after its
+        answer was given up, and what was kept back meanwhile would have gone on by then.
+        So the key is written as it stands. Whichever of the two comes first, the other's
+        condition fails; a part that was lost meanwhile is its new owner's affair.
+        """
+        if not error.unknown:
+            return
+        while self.replica.version(key) == version and self.members.token(part) == token:
             try:
-                await self.replica.catch_up(await self.members.store.revision(), 10.0)
-                return
-            except StoreDown:
+                await self.book.commit(
+                    {key: version, f"pt/parts/{part}": token}, [Write(key, value())],
+                    priority=tokens.ACCEPTANCES,
+                )
+            except StoreDown as again:
+                log.debug("settling %s: %s", key, again)
                 await trio.sleep(0.3)
 
+    async def settle_job(
+        self, error: StoreDown, job: Job, version: int, part: int, token: int
+    ) -> None:
+        def value() -> bytes:
+            record = job.record
+            if record.stage == OPEN and not job.chunked:
+                record = msgspec.structs.replace(record, finished=job.finished.text())
+            return encode(record)
+
+        await self.settle(error, f"pt/jobs/{job.id}", version, part, token, value)
+
     async def run(self) -> None:
         """Allot, preempt, refresh notes; what is due is worked out anew each time."""
         while True:
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -306,16 +306,16 @@
         moved[part] = (rows[part][0] - give[0], rows[part][1] - give[1])
         moved[to] = (rows[to][0] + give[0], rows[to][1] + give[1])
         value = encode({**self.shares, team.name: moved})
-        conditions = {
-            f"pt/parts/{part}": token,
-            "pt/shares": self.split.replica.version("pt/shares"),
-        }
+        version = self.split.replica.version("pt/shares")
+        conditions = {f"pt/parts/{part}": token, "pt/shares": version}
         self.giving[(part, team.name)] = give
         try:
             await self.book.commit(
                 conditions, [Write("pt/shares", value)], priority=tokens.ACCEPTANCES
             )
         except StoreDown as error:
-            await self.split.read_back(error)
+            await self.split.settle(
+                error, "pt/shares", version, part, token, lambda: encode(self.shares)
+            )
         finally:
             self.giving.pop((part, team.name), None)
--- a/standins/state.py
+++ b/standins/state.py
@@ -9,6 +9,8 @@
 
 from pitchtally.http import Request, Response
 
+from .world import CALLER
+
 
 def _answer(status: int, body: dict[str, Any]) -> Response:
     return Response(status, json.dumps(body).encode())
@@ -23,6 +25,7 @@
         self.down = False
         self.changed = trio.Event()
         self.kept = 10_000
+        self.refuses: set[str] = set()  # hosts that get 503 while others are served
 
     def stop(self) -> None:
         self.down = True
@@ -66,7 +69,7 @@
                 self._expire()
 
     async def handle(self, request: Request) -> Response:
-        if self.down:
+        if self.down or CALLER.get() in self.refuses:
             return _answer(503, {"error": "trouble"})
         self._expire()
         path, query = request.path, request.query
@@ -133,7 +136,8 @@
                 for revision, key, value in self.log
                 if revision > since and key.startswith(prefix)
             ]
-            if (found or trio.current_time() >= end) and not self.down:
+            closed = self.down or CALLER.get() in self.refuses
+            if (found or trio.current_time() >= end) and not closed:
                 return _answer(200, {"ledger": self.revision, "log": found})
             with trio.move_on_after(max(0.05, min(1.0, end - trio.current_time()))):
                 await self.changed.wait()
--- a/standins/world.py
+++ b/standins/world.py
@@ -18,6 +18,7 @@
 
 Handler = Callable[[Request], Awaitable[Response]]
 HERE: contextvars.ContextVar[str] = contextvars.ContextVar("here", default="user")
+CALLER: contextvars.ContextVar[str] = contextvars.ContextVar("caller", default="user")
 
 
 class Network:
@@ -29,6 +30,15 @@
         self.dead: set[str] = set()
         self.late: dict[tuple[str, str], float] = {}  # executed again after this long
         self.lost: dict[tuple[str, str], float] = {}  # share of answers that are lost
+        self.refused: set[tuple[str, str]] = set()  # connections are refused at once
+        self.mute: set[str] = set()  # hosts whose own calls get nowhere
+        self.slow: dict[tuple[str, str], float] = {}  # seconds until an answer comes
+        # A cut that holds packets: calls get no answer, and arrive in order once it ends.
+        self.held: set[tuple[str, str]] = set()
+        self.packets: list[tuple[str, str, tuple[str, int], Request]] = []
+        self.late_writes = 0.0  # share of transactions carried out 2 to 12 s late, unanswered
+        self.late_reports = 0.0  # share of reports of which a copy arrives again later
+        self.late_most = 30.0  # seconds, for copies of reports
         self.random = random.Random(seed)
         self.nursery: trio.Nursery | None = None
 
@@ -41,10 +51,30 @@
         """Calls by the host arrive; nothing comes back, and no call reaches it."""
         self.cuts.add(("*", name))
 
+    def hold(self, a: str, b: str) -> None:
+        self.held |= {(a, b), (b, a)}
+
+    def deliver(self) -> None:
+        """The holding cuts end: what they held arrives, in order."""
+        self.held.clear()
+        packets, self.packets = self.packets, []
+        if packets and self.nursery is not None:
+            self.nursery.start_soon(self._deliver, packets)
+
+    async def _deliver(self, packets: list[tuple[str, str, tuple[str, int], Request]]) -> None:
+        for here, _, address, request in packets:
+            with trio.move_on_after(5.0):
+                await self._arrive(here, address, request)
+
     def heal(self) -> None:
         self.cuts.clear()
         self.late.clear()
         self.lost.clear()
+        self.refused.clear()
+        self.mute.clear()
+        self.slow.clear()
+        self.late_writes = self.late_reports = 0.0
+        self.deliver()
 
     def _is_cut(self, a: str, b: str) -> bool:
         return any(p in self.cuts for p in ((a, b), (a, "*"), ("*", b)))
@@ -62,17 +92,28 @@
         host = self.hosts.get(address)
         with trio.move_on_after(timeout):
             await trio.sleep(0.001 + self.random.random() * 0.002)
-            if host is None or host[0] in self.dead:
+            if host is None or host[0] in self.dead or (here, host[0]) in self.refused:
                 raise HttpError("refused")
             name, handler = host
-            if self._is_cut(here, name):
+            if self._is_cut(here, name) or here in self.mute:
                 await trio.sleep_forever()
             path, query = _split(target.encode())
             request = Request(method, path, query, body)
+            if (here, name) in self.held:
+                self.packets.append((here, name, address, request))
+                await trio.sleep_forever()
             again = self.late.get((here, name))
+            if target == "/v1/report" and self.random.random() < self.late_reports:
+                again = self.random.uniform(2.0, self.late_most)
             if again is not None and self.nursery is not None:
-                self.nursery.start_soon(self._again, again, name, handler, request)
-            response = await handler(request)
+                self.nursery.start_soon(self._again, again, here, address, request)
+            if target == "/commit" and self.random.random() < self.late_writes:
+                assert self.nursery is not None
+                after = self.random.uniform(2.0, 12.0)
+                self.nursery.start_soon(self._again, after, here, address, request)
+                await trio.sleep_forever()
+            response = await self._serve(here, name, handler, request)
+            await trio.sleep(self.slow.get((here, name), 0.0))
             if self._is_cut(name, here) or name in self.dead:
                 await trio.sleep_forever()
             if self.random.random() < self.lost.get((here, name), 0.0):
@@ -81,10 +122,26 @@
             return response
         raise HttpError("no answer")
 
-    async def _again(self, after: float, name: str, handler: Handler, request: Request) -> None:
+    async def _serve(self, here: str, name: str, handler: Handler, request: Request) -> Response:
+        """The handler runs as its host: what it asks of others meets that host's cuts."""
+        host, caller = HERE.set(name), CALLER.set(here)
+        try:
+            return await handler(request)
+        finally:
+            HERE.reset(host)
+            CALLER.reset(caller)
+
+    async def _again(
+        self, after: float, here: str, address: tuple[str, int], request: Request
+    ) -> None:
         await trio.sleep(after)
+        await self._arrive(here, address, request)
+
+    async def _arrive(self, here: str, address: tuple[str, int], request: Request) -> None:
+        """A late packet meets whoever listens there by now."""
+        name, handler = self.hosts[address]
         if name not in self.dead:
-            await handler(request)
+            await self._serve(here, name, handler, request)
 
     def install(self, monkeypatch: Any) -> None:
         """Let every client and server of this process use this network."""
@@ -118,6 +175,7 @@
         self.started = 0
         self.first: dict[str, float] = {}  # job -> when its first task started
         self.most: dict[str, float] = {}  # team -> most CPUs in use at once
+        self.leases_over = 0  # tasks that ended with their machine's lease
 
     def start(self, worker: Worker, task: str) -> None:
         spec = self.specs[task.rpartition("/")[0]]
@@ -170,6 +228,22 @@
         self.gone = False
         self.sick = False
         self.notice_at: float | None = None  # when the cloud takes the machine back
+        self.hung = False
+        self.inbox: list[Request] = []  # commands that came while it hung
+
+    async def hang(self, seconds: float) -> None:
+        """Nothing is executed for so long; then it goes on, within its lease or not."""
+        self.hung = True
+        await trio.sleep(seconds)
+        self.hung = False
+        for task in self.tasks.values():
+            if "since" in task:
+                task["since"] += seconds  # it didn't run meanwhile
+        self._check_lease()
+        inbox, self.inbox = self.inbox, []
+        for request in inbox:
+            await self.handle(request)
+        self.changed.set()
 
     def report(self) -> dict[str, Any]:
         self.seq += 1
@@ -189,6 +263,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._work)
             while not self.gone:
+                while self.hung:
+                    await trio.sleep(0.05)
                 await self._report()
                 # Something that changes is reported, but not within half a second.
                 await trio.sleep(0.5)
@@ -207,7 +283,9 @@
             )
         except HttpError:
             response = Response(0)
-        if self.gone or session != self.session:
+        while self.hung:
+            await trio.sleep(0.05)
+        if self.gone or session != self.session or trio.current_time() - sent > 4.0:
             return
         if response.status == 200:
             answer = json.loads(response.body)
@@ -230,7 +308,9 @@
         self.changed.set()
 
     async def handle(self, request: Request) -> Response:
-        if self.gone:
+        if self.hung and request.path == "/commands":
+            self.inbox.append(request)
+        if self.gone or self.hung:
             await trio.sleep_forever()
         if request.path == "/status":
             return Response(200, json.dumps(self.report()).encode())
@@ -293,6 +373,17 @@
                 self.world.rules.leave(task)
         self.tasks.clear()
 
+    def _check_lease(self) -> None:
+        now = trio.current_time()
+        if now - self.renewed > self.world.lease_s:
+            self.world.rules.leases_over += sum(
+                1 for held in self.tasks.values() if held["state"] != "ended"
+            )
+            self._lose_all()
+            self.session += 1
+            self.renewed = now
+            self.changed.set()
+
     def restart(self) -> None:
         """Down and up again before anybody noticed: nothing is left, a new session."""
         self._lose_all()
@@ -309,11 +400,9 @@
             await trio.sleep(0.1)
             now = trio.current_time()
             self.world.rules.check()
-            if now - self.renewed > self.world.lease_s:
-                self._lose_all()
-                self.session += 1
-                self.renewed = now
-                self.changed.set()
+            if self.hung:
+                continue
+            self._check_lease()
             for task, held in list(self.tasks.items()):
                 job = task.rpartition("/")[0]
                 spec = self.world.rules.specs[job]
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -37,7 +37,7 @@
 }
 
 
-def settings(node: str) -> Settings:
+def settings(node: str, times: WorkerTimes = TIMES) -> Settings:
     return Settings(
         name=node,
         public_addr=f"10.0.0.{NODES.index(node)}:8080",
@@ -47,7 +47,7 @@
         members=[Member(name=n, address=f"10.0.0.{NODES.index(n)}:8081") for n in NODES
                  if n != node],
         deployment=Deployment(
-            count=3, workers=TIMES, zones=["a", "b"],
+            count=3, workers=times, zones=["a", "b"],
             teams=[Team("free"), Team("tight", cpus=4.0, cpus_max=6.0)],
             state=StateLimits(rps=300, write_rps=100, value_kb=8, txn_ops=16),
             cloud=CloudLimits(rps=5, list_lag_s=2),
@@ -66,12 +66,14 @@
 
 
 class Sim:
-    def __init__(self, seed: int):
+    def __init__(self, seed: int, times: WorkerTimes = TIMES):
+        self.times = times
         self.network = Network(seed)
         self.state = State()
         nodes = [(n, (f"10.0.0.{i}", 8080)) for i, n in enumerate(NODES)]
-        self.world = World(self.network, nodes, TYPES, report_s=1.0, lease_s=10.0,
-                           cancel_s=25.0, gang_wait_s=12.0, seed=seed)
+        self.world = World(self.network, nodes, TYPES, report_s=times.report_s,
+                           lease_s=times.lease_s, cancel_s=times.cancel_s,
+                           gang_wait_s=times.gang_wait_s, seed=seed)
         self.world.rules.limits = {"tight": 6.0}
         self.network.hosts[("10.2.0.1", 2379)] = ("state", self.state.handle)
         self.network.hosts[("10.2.0.2", 8443)] = ("cloud", self.world.handle)
@@ -85,7 +87,7 @@
         HERE.set(name)
         with trio.CancelScope() as scope:
             self.scopes[name] = scope
-            config = settings(name)
+            config = settings(name, self.times)
             controller = Controller(config, policy.parse("", config))
             self.controllers[name] = controller
             await controller.run()
@@ -188,9 +190,11 @@
         assert self.seen_wrong == []
 
 
-def run(monkeypatch: pytest.MonkeyPatch, body: Any, seed: int = 1) -> Sim:
+def run(
+    monkeypatch: pytest.MonkeyPatch, body: Any, seed: int = 1, times: WorkerTimes = TIMES
+) -> Sim:
     """Run a scenario: `await body(sim)` with everything up."""
-    sim = Sim(seed)
+    sim = Sim(seed, times)
 
     async def main() -> None:
         sim.network.install(monkeypatch)
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -189,7 +189,7 @@
         members.replica.fresh_at = fresh
         for peer, heard in zip(members.peers.values(), peers, strict=True):
             if heard is not None:
-                peer.answer = Answer(heard[0], heard[1])
+                peer.answer = Answer(heard[0], heard[1], heard[1])
         assert members.sure_at() == sure
 
     trio.run(main, clock=trio.testing.MockClock())
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -97,7 +97,7 @@
     ]
     names = [f"i-{n:09d}" for n in range(930)]
     cancelled = [Cancellation(id, 10**12, 100_000, 100_000) for id in waiting]
-    told = Heartbeat("n", "i", 10**9, 10**12, 1.0, cancelled, parts, names, names)
+    told = Heartbeat("n", "i", 10**9, 10**12, 1.0, 1.0, cancelled, parts, names, names)
     return len(members._encode(told))
 
 
