Failures are weighed between job and machine; broken jobs are tried one task at a time

Now blame.py weighs: a job that failed on two machines and has nothing done or running on is at fault; its failures count against no machine, it tries one task at a time with growing pauses, and calls for one machine. Failures are remembered for sick_rest, not for ever.

--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -78,7 +78,10 @@
         self.moving = False
         self.allotted_at = -1e9
         self.not_before = -1e9  # after failures on several machines
-        self.failed_on: set[str] = set()
+        self.failed_on: dict[str, float] = {}  # machines, and when
+        self.failed_after = 0.0  # the longest that a task ran before it failed
+        self.probes = 0  # tries since the job was found at fault
+        self.faulty = False  # fails wherever it goes, see `blame`
         self.tried = 0  # the shared attempt that was placed last
 
     def rebuild(self) -> None:
--- a/pitchtally/control/levelling.py
+++ b/pitchtally/control/levelling.py
@@ -52,6 +52,7 @@
                 (h.rank, h.release, id)
                 for id, h in work.holdings.items()
                 if h.pool.count
+                and not h.faulty
                 and self.split.parts.ready(work, id, h, now)
                 and now - h.since >= 0.5
             ]
@@ -114,6 +115,7 @@
                 (h.pool.count * h.job.spec.cpus, id)
                 for id, h in work.holdings.items()
                 if self.split.parts.ready(work, id, h, now)
+                and not h.faulty
                 and not whole(h.job.spec)
                 and len(h.job.record.ranges) <= 40
             ]
--- a/pitchtally/control/machines.py
+++ b/pitchtally/control/machines.py
@@ -45,10 +45,10 @@
 
 class Machine:
     __slots__ = ("address", "answered_at", "asked", "confirmed", "drain", "errors", "exits",
-                 "failed_jobs", "forgot_at", "group", "heard_at", "idle_since", "images", "kind",
-                 "lost", "name", "notice_at", "orphans", "part", "placements", "recorded",
-                 "reported", "reserved", "resting_until", "seq", "session", "slow", "spot",
-                 "type", "unheeded", "used", "yielding", "zone")
+                 "failed_at", "failed_jobs", "forgot_at", "group", "heard_at", "idle_since",
+                 "images", "kind", "lost", "name", "notice_at", "orphans", "part", "placements",
+                 "recorded", "reported", "reserved", "resting_until", "seq", "session", "slow",
+                 "spot", "type", "unheeded", "used", "yielding", "zone")
 
     def __init__(self, name: str, part: int, type: str, zone: str, spot: bool, address: str):
         now = trio.current_time()
@@ -76,7 +76,8 @@
         # them than that they must end.
         self.orphans: dict[str, int] = {}
         self.images: dict[str, float] = {}
-        self.failed_jobs: dict[str, int] = {}
+        self.failed_jobs: dict[str, int] = {}  # since a task was last done here
+        self.failed_at: dict[str, float] = {}  # when each of them did so last
         self.errors = 0
         self.forgot_at = -1e9
         self.resting_until = -1e9
--- a/pitchtally/control/notes.py
+++ b/pitchtally/control/notes.py
@@ -113,8 +113,10 @@
             queued = 0.0
             for id, h in work.holdings.items():
                 if h.pool.count:
-                    waiting[id] = h.pool.count
-                    queued += h.pool.count * self.split.estimates.task(h.spec) * h.need[0]
+                    # What fails wherever it goes calls for no machines but one.
+                    count = 1 if h.faulty and not h.gang else h.pool.count
+                    waiting[id] = count
+                    queued += count * self.split.estimates.task(h.spec) * h.need[0]
             hold = self.workers.parts.get(part)
             note = PartNote(
                 part, hold.token if hold else 0, work.settled, queued, 0.0, machines, [], waiting
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -8,8 +8,9 @@
 import trio
 
 from .. import wire
+from .blame import Standing, sick, standing
 from .holdings import Holding, PartWork
-from .jobs import Job, Record
+from .jobs import DONE, Job, Record
 from .machines import Machine, Placement
 from .rooms import (
     allowed,
@@ -153,12 +154,7 @@
             holding.give_back(placement.task)
             work.expect(holding.need)
             if cause == wire.ERROR:
-                holding.failed_on.add(placement.machine.name)
-                # A job that fails wherever it goes waits longer each time.
-                tries = len(holding.failed_on)
-                if tries > 1:
-                    holding.not_before = trio.current_time() + self.report_s * min(2.0**tries, 16.0)
-                self._judge(placement.machine)
+                self._failed(work, holding, placement)
             elif cause == wire.UNKNOWN:
                 holding.not_before = trio.current_time() + self.report_s
         if job.spec.kind == wire.GANG and not job.is_finished(placement.task):
@@ -167,16 +163,69 @@
                 self.workers.stop(other, job.spec.save)
         self.split.wake.set()
 
-    def _judge(self, machine: Machine) -> None:
-        """Sick machine or bad job: told by whether several jobs fail there."""
-        jobs = len(machine.failed_jobs)
-        if jobs >= 2 or machine.errors >= 3:
-            rest = self.policy.sick_rest * min(4, 1 + machine.errors // 6)
-            if machine.resting_until < trio.current_time():
-                log.info(
-                    "machine rests machine=%s jobs=%d errors=%d", machine.name, jobs, machine.errors
-                )
-            machine.resting_until = trio.current_time() + rest
+    def _failed(self, work: PartWork, holding: Holding, placement: Placement) -> None:
+        """Whose fault it was, by all that is known: the job waits, or the machine rests."""
+        now = trio.current_time()
+        machine = placement.machine
+        holding.failed_on[machine.name] = now
+        if placement.run_at is not None:
+            holding.failed_after = max(holding.failed_after, now - placement.run_at)
+        self.weigh(holding)
+        if not holding.faulty:
+            self._judge(work, machine)
+            return
+        if holding.not_before <= now:
+            # One failure a try: those that started together count once.
+            holding.probes += 1
+            pause = self.report_s * min(2.0**holding.probes, 16.0)
+            holding.not_before = now + pause
+            log.info("job fails wherever it goes job=%s machines=%d pause=%.1f",
+                     holding.job.id, len(holding.failed_on), pause)
+        for name in holding.failed_on:
+            other = self.workers.machines.get(name)
+            if other is not None and other.failed_jobs.pop(holding.job.id, None) is not None:
+                other.failed_at.pop(holding.job.id, None)
+                if other.resting_until > now and not self._is_sick(work, other):
+                    other.resting_until = -1e9
+
+    def weigh(self, holding: Holding) -> None:
+        """Work out a job's standing anew; one that has never failed needs none."""
+        if holding.failed_on:
+            holding.faulty = self._standing(holding) is Standing.FAULTY
+
+    def _standing(self, holding: Holding) -> Standing:
+        now = trio.current_time()
+        return standing(
+            bool(holding.job.finished.count or holding.job.local),
+            len(holding.failed_on),
+            holding.failed_after,
+            [now - p.run_at for p in holding.placed.values() if p.run_at is not None],
+            self.report_s * 2,
+        )
+
+    def _is_sick(self, work: PartWork, machine: Machine) -> bool:
+        jobs = {}
+        failures = {}
+        for id, count in machine.failed_jobs.items():
+            job, holding = self.book.jobs.get(id), work.holdings.get(id)
+            if job is None or (not job.open and job.record.stage != DONE):
+                continue  # its user has cancelled it, as one does with a mistake
+            failures[id] = count
+            if holding is not None:
+                jobs[id] = self._standing(holding)
+            else:
+                done = not job.open or bool(job.finished.count or job.local)
+                jobs[id] = Standing.GOOD if done else Standing.UNKNOWN
+        return sick(failures, jobs)
+
+    def _judge(self, work: PartWork, machine: Machine) -> None:
+        if not self._is_sick(work, machine):
+            return
+        now = trio.current_time()
+        if machine.resting_until < now:
+            log.info("machine rests machine=%s jobs=%d errors=%d", machine.name,
+                     len(machine.failed_jobs), machine.errors)
+        machine.resting_until = now + self.policy.sick_rest
 
     def machine_ok(self, holding: Holding, machine: Machine) -> bool:
         kind = machine.kind
@@ -189,9 +238,13 @@
             ) and fits(holding.need, (kind.cpus, kind.gpus, kind.memory))
         if not ok:
             return False
-        # Also what the machine remembers: a holding is new after a move or a takeover.
-        if machine.name in holding.failed_on or holding.job.id in machine.failed_jobs:
-            return False
+        # Also what the machine remembers: a holding is new after a move or a takeover. Not
+        # for ever: a machine may be well again, and there may be no other.
+        if holding.failed_on or machine.failed_at:
+            at = max(holding.failed_on.get(machine.name, -1e9),
+                     machine.failed_at.get(holding.job.id, -1e9))
+            if trio.current_time() - at < self.policy.sick_rest:
+                return False
         return not holding.one_zone or holding.job.record.zone == machine.zone
 
     def ready(self, work: PartWork, id: str, holding: Holding, now: float) -> bool:
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -47,6 +47,7 @@
         least = (math.inf, math.inf)
         for id, holding in work.holdings.items():
             self.split.order.renew(holding)
+            self.split.parts.weigh(holding)
             left[id] = self.split.estimates.task(holding.spec)
             if holding.pool.count and not holding.gang:
                 least = (min(least[0], holding.need[0]), min(least[1], holding.need[2]))
@@ -235,6 +236,9 @@
                 limit = min(limit, holding.pool.count - better)
             if holding.aged:
                 limit = min(limit, 1)
+            if holding.faulty:
+                # One task at a time tells whether it still fails.
+                limit = min(limit, 1 - len(holding.placed))
             if spec.spread and spec.tasks > 1 and limit:
                 inside = sum(1 for p in holding.placed.values() if p.machine.zone == machine.zone)
                 limit = min(limit, (spec.tasks + 1) // 2 - inside)
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -423,6 +423,7 @@
         job = placement.job
         if cause == wire.DONE:
             machine.failed_jobs.clear()
+            machine.failed_at.clear()
             machine.errors = 0
             ran = now - placement.run_at if placement.run_at is not None else -1.0
             if job.open:
@@ -430,6 +431,7 @@
         elif cause == wire.ERROR:
             machine.errors += 1
             machine.failed_jobs[job.id] = machine.failed_jobs.get(job.id, 0) + 1
+            machine.failed_at[job.id] = now
             log.info("task failed task=%s machine=%s", key, machine.name)
         elif cause not in (wire.STOPPED,):
             log.info("task ended task=%s machine=%s cause=%s", key, machine.name, cause)
--- a/standins/world.py
+++ b/standins/world.py
@@ -175,6 +175,7 @@
         self.started = 0
         self.first: dict[str, float] = {}  # job -> when its first task started
         self.most: dict[str, float] = {}  # team -> most CPUs in use at once
+        self.failures = 0  # tasks that ended with an error
         self.leases_over = 0  # tasks that ended with their machine's lease
 
     def start(self, worker: Worker, task: str) -> None:
@@ -356,6 +357,7 @@
                 state["cause"] = "full"
             elif self.sick:
                 state["cause"] = "error"
+                self.world.rules.failures += 1
             else:
                 gang = spec["cut"] == "gang" and spec["rows"] > 1
                 state = {"attempt": attempt, "state": "waiting" if gang else "running",
@@ -423,6 +425,10 @@
                         self.changed.set()
                     elif now - held["since"] > self.world.gang_wait_s:
                         self._end(task, "incomplete")
+                elif held["state"] == "running" and spec.get("broken"):
+                    if now - held["since"] >= 0.5:
+                        self.world.rules.failures += 1
+                        self._end(task, "error")
                 elif held["state"] == "running" and now - held["since"] >= self._needs(task):
                     if spec["cut"] != "standing":
                         self.world.rules.done.add(task)
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -69,7 +69,7 @@
 
 def sent(spec: dict[str, Any]) -> dict[str, Any]:
     """What a user sends of a job: how long its tasks really run is for the workers to find."""
-    return {k: v for k, v in spec.items() if not k.startswith("real")}
+    return {k: v for k, v in spec.items() if not k.startswith("real") and k != "broken"}
 
 
 class Sim:
--- /dev/null
+++ b/tests/test_blame.py
@@ -0,0 +1,75 @@
+"""Broken jobs and faulty machines are told apart, and neither causes a storm of tries."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from pitchtally.control.blame import Standing, sick, standing
+
+from .sim import Sim, job, run
+
+GOOD, UNKNOWN, FAULTY = Standing.GOOD, Standing.UNKNOWN, Standing.FAULTY
+
+STANDINGS: list[tuple[bool, int, list[float], Standing]] = [
+    # a task is done, machines that it failed on, how long its tasks run; failures took 3 s
+    (False, 0, [], UNKNOWN),
+    (False, 1, [], UNKNOWN),
+    (False, 2, [], FAULTY),
+    (False, 9, [2.0, 8.0], FAULTY),
+    (False, 2, [8.1], GOOD),  # longer than its failures took
+    (True, 9, [], GOOD),
+]
+
+
+@pytest.mark.parametrize(("done", "machines", "running", "found"), STANDINGS)
+def test_standing_of_a_job(
+    done: bool, machines: int, running: list[float], found: Standing
+) -> None:
+    assert standing(done, machines, 3.0, running, 2.0) is found
+
+
+SICK: list[tuple[dict[str, tuple[int, Standing]], bool]] = [
+    ({}, False),
+    ({"a": (50, FAULTY), "b": (50, FAULTY), "c": (9, FAULTY)}, False),
+    ({"a": (50, UNKNOWN), "b": (50, UNKNOWN)}, False),
+    ({"a": (1, UNKNOWN), "b": (1, UNKNOWN), "c": (1, UNKNOWN)}, True),
+    ({"a": (1, GOOD)}, False),
+    ({"a": (3, GOOD)}, True),
+    ({"a": (1, GOOD), "b": (1, GOOD)}, True),
+]
+
+
+@pytest.mark.parametrize(("failures", "found"), SICK)
+def test_sickness_of_a_machine(
+    failures: dict[str, tuple[int, Standing]], found: bool
+) -> None:
+    counts = {id: n for id, (n, _) in failures.items()}
+    assert sick(counts, {id: s for id, (_, s) in failures.items()}) is found
+
+
+def test_broken_jobs_cause_no_storm_and_blame_no_machine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Arrays that fail everywhere returned healthy machines, and tried hundreds of times."""
+
+    async def day(sim: Sim) -> None:
+        for number in (1, 2, 3):
+            await sim.submit(job(number, rows=40, vcpus=1.0, broken=True))
+        good = [job(n, rows=6, vcpus=1.0) for n in range(4, 8)]
+        for spec in good:
+            await sim.submit(spec)
+        await sim.finish([spec["ref"] for spec in good], limit=60)
+        await trio.sleep(60)
+        assert not any(m.resting_until > 0 for c in sim.controllers.values()
+                       for m in c.workers.machines.values())
+        # Two machines a part find a job out, each with as many tasks as it holds at once.
+        assert sim.world.rules.failures <= 3 * (6 * 8 + 3 * 8)
+        before = sim.world.rules.failures
+        await trio.sleep(60)
+        assert 0 < sim.world.rules.failures - before <= 3 * 3 * 8  # still tried, now and then
+        for number in (1, 2, 3):
+            await sim.cancel(f"wk-{number:06d}")
+        sim.check()
+
+    run(monkeypatch, day)
