--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -146,7 +146,7 @@
         self.told_at = -1e9  # when it last had our notes, as it answered
         self.failing = ""
         self.incarnation = ""
-        self.past: set[str] = set()  # earlier incarnations, whose messages may still come
+        self.since = -1e9  # when that was first heard of
         self.number = -1  # of the newest heartbeat taken in
         self.seen = -1  # the revision that its copy covers
 
@@ -155,19 +155,20 @@
         """A question sent at this time was answered."""
         return -1e9 if self.answer is None else self.answer.asked_at
 
-    def renews(self, beat: Heartbeat, answer: bool, listed: str) -> bool:
+    def renews(self, beat: Heartbeat, asked_at: float | None, listed: str) -> bool:
         """Whether a heartbeat is newer than all that were taken in, and takes it for that.
 
         A cut may hold one back and deliver it after newer ones, of the next incarnation
-        too. Which of two incarnations is the later, only an answer to a question of ours
-        can tell, or the store.
+        too. Which of two incarnations is the later, the store can tell, or an answer to a
+        question that we asked when we knew of the other. Whatever is taken for the later
+        by mistake is put right by the next answer.
         """
         if beat.incarnation != self.incarnation:
-            later = answer or not self.incarnation or beat.incarnation == listed
-            if beat.incarnation in self.past or not later:
+            asked = asked_at is not None and asked_at > self.since
+            if self.incarnation and not asked and beat.incarnation != listed:
                 return False
-            self.past.add(self.incarnation)
             self.incarnation = beat.incarnation
+            self.since = trio.current_time()
         elif beat.number <= self.number:
             return False
         self.number, self.seen = beat.number, beat.seen
@@ -429,7 +430,7 @@
             sent = trio.current_time()
             reply = await self.send(peer, self.compose(peer.seen))
             if isinstance(reply, Heartbeat) and reply.node == peer.name:
-                self._take_beat(reply, answer=True)
+                self._take_beat(reply, sent)
                 # Only now: what it tells is known here from this moment on.
                 peer.answer = Answer(sent, reply.store_age, reply.sure_age)
                 peer.told_at = sent
@@ -499,7 +500,7 @@
             return Response(400, b"")
         reply: Message = Ack()
         if isinstance(message, Heartbeat):
-            self._take_beat(message, answer=False)
+            self._take_beat(message, None)
             # What it asks rests on its own words, not on what we remember of it: the
             # answer holds every cancellation newer than the copy that it had as it asked.
             reply = self.compose(message.seen)
@@ -517,7 +518,7 @@
             reply = Forwarded(found.status, found.body, dict(found.headers).get("Retry-After", ""))
         return Response(200, _encode(reply), type="application/msgpack")
 
-    def _take_beat(self, beat: Heartbeat, *, answer: bool) -> None:
+    def _take_beat(self, beat: Heartbeat, asked_at: float | None) -> None:
         peer = self.peers.get(beat.node)
         if peer is None:
             return
@@ -530,5 +531,5 @@
         for cancellation in beat.cancellations:
             self.on_cancel(cancellation)
         listed = self.alive.get(beat.node)
-        if peer.renews(beat, answer, listed.incarnation if listed else ""):
+        if peer.renews(beat, asked_at, listed.incarnation if listed else ""):
             self.on_beat(beat)
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -101,6 +101,9 @@
 
     def start(self, *names: str) -> None:
         for name in names or NODES:
+            # Nobody listens there until the new process does.
+            for address in [a for a, (n, _) in self.network.hosts.items() if n == name]:
+                del self.network.hosts[address]
             self.network.dead.discard(name)
             self.nursery.start_soon(self._node, name)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -493,7 +493,7 @@
         assert owner.members.token(1) == 50
         def told(number: int, tokens: list[tuple[int, int]]) -> None:
             beat = Heartbeat("n1", "x", number, 0, 0.0, 0.0, [], [], [], [], tokens)
-            owner.members._take_beat(beat, answer=False)
+            owner.members._take_beat(beat, None)
 
         told(1, [(1, 49), (2, 80)])
         assert owner.members.token(1) == 50
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -185,22 +185,38 @@
                      [], [], [])
 
 
-ORDERS: list[tuple[list[tuple[str, int, bool]], str, list[bool]]] = [
-    # heartbeats (incarnation, number, answer to ours), incarnation in the store, taken in
-    ([("x", 1, True), ("x", 2, False), ("x", 1, False)], "x", [True, True, False]),
-    ([("x", 5, False), ("x", 4, True)], "x", [True, False]),
-    ([("x", 9, True), ("y", 1, True), ("x", 10, False)], "y", [True, True, False]),
-    ([("x", 9, True), ("y", 1, False), ("y", 2, True)], "x", [True, False, True]),
-    ([("x", 9, True), ("y", 1, False), ("x", 10, False)], "y", [True, True, False]),
+ORDERS: list[tuple[list[tuple[str, int, float | None]], str, list[bool]]] = [
+    # heartbeats (incarnation, number, when we asked for it), incarnation in the store, taken in
+    ([("x", 1, 0.0), ("x", 2, None), ("x", 1, None)], "x", [True, True, False]),
+    ([("x", 5, None), ("x", 4, 0.5)], "x", [True, False]),
+    # the next incarnation, and a late one of the last
+    ([("x", 9, 0.0), ("y", 1, 0.5), ("x", 10, None)], "y", [True, True, False]),
+    ([("x", 9, 0.0), ("y", 1, None), ("y", 2, 1.5)], "x", [True, False, True]),
+    ([("x", 9, 0.0), ("y", 1, None), ("x", 10, None)], "y", [True, True, False]),
+    # an answer of the last one, asked for before we knew of the next
+    ([("y", 1, None), ("x", 9, -1.0), ("y", 2, 1.5)], "y", [True, False, True]),
+    # a mistake, for the store's copy was behind as well, is put right by the next answer
+    ([("y", 1, None), ("x", 9, None), ("y", 2, 2.5)], "x", [True, True, True]),
 ]
 
 
 @pytest.mark.parametrize(("beats", "listed", "taken"), ORDERS)
 def test_heartbeats_have_an_order(
-    beats: list[tuple[str, int, bool]], listed: str, taken: list[bool]
+    beats: list[tuple[str, int, float | None]], listed: str, taken: list[bool]
 ) -> None:
-    peer = Peer("n1", "10.0.0.1:8081")
-    assert [peer.renews(_beat(i, n), answer, listed) for i, n, answer in beats] == taken
+    """One second lies between each and the next."""
+
+    async def main() -> None:
+        peer = Peer("n1", "10.0.0.1:8081")
+        found = []
+        start = trio.current_time()
+        for incarnation, number, asked in beats:
+            asked_at = None if asked is None else start + asked
+            found.append(peer.renews(_beat(incarnation, number), asked_at, listed))
+            await trio.sleep(1.0)
+        assert found == taken
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
 def test_cancellations_are_told_however_long_ago(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -59,7 +59,14 @@
 async def restart(sim: Sim, *names: str, after: float = 0.2) -> None:
     sim.kill(*names)
     await trio.sleep(after)
-    sim.start(*names)
+    for name in names or NODES:
+        revive(sim, name)
+
+
+def revive(sim: Sim, name: str) -> None:
+    """Started, unless another trouble has ended and started it meanwhile."""
+    if name in sim.network.dead:
+        sim.start(name)
 
 
 async def refuse_then_outage(sim: Sim, seconds: float) -> None:
@@ -127,10 +134,10 @@
         await trio.sleep(2.5)
     sim.kill()
     await trio.sleep(0.4)
-    sim.start("n2")
+    revive(sim, "n2")
     await trio.sleep(8)
-    sim.start("n0")
-    sim.start("n1")
+    revive(sim, "n0")
+    revive(sim, "n1")
 
 
 async def old_reports_after_newer_ones(sim: Sim) -> None:
@@ -163,7 +170,8 @@
     await trio.sleep(3)
     sim.kill("n0", "n1")
     await trio.sleep(7)
-    sim.start("n0", "n1")
+    revive(sim, "n0")
+    revive(sim, "n1")
     await trio.sleep(4)
     sim.network.deliver()
     await trio.sleep(10)
@@ -342,38 +350,71 @@
     meeting: Meeting, seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def day(sim: Sim) -> None:
-        for spec in JOBS:
-            sim.nursery.start_soon(sim.submit, spec)
-        sim.nursery.start_soon(users, sim)
-        await trio.sleep(5 + seed % 3)
-        await meeting(sim)
-        sim.state.refuses.clear()
-        sim.network.heal()
-        for name in sorted(sim.network.dead):
-            sim.start(name)
-        calm = trio.current_time()
-        for id in CANCELLED:
-            if id not in sim.oracle.asked_cancel:
-                sim.nursery.start_soon(sim.cancel, id)
-        while trio.current_time() - calm < 200:
-            await trio.sleep(1.0)
-            now = trio.current_time()
-            sim.oracle.silent(now, calm)
-            sim.oracle.idle(now, sim.world)
-            sim.check()
-            if all(id in sim.final for id in IDS):
-                break
-        assert not [id for id in IDS if id not in sim.final]
-        assert [sim.final[id] for id in CANCELLED] == ["withdrawn"] * 2
-        await trio.sleep(TIMES.cancel_s + 1)  # nothing of what was cancelled may be left
-        for node in range(3):
-            for id in IDS:
-                await sim.poll(id, node)
-        sim.check()
+        await play(sim, meeting, 5 + seed % 3)
 
     run(monkeypatch, day, seed)
 
 
+async def play(sim: Sim, meeting: Meeting, after: float) -> None:
+    """A day of users' jobs, a meeting of troubles in it, and the calm that must follow."""
+    for spec in JOBS:
+        sim.nursery.start_soon(sim.submit, spec)
+    sim.nursery.start_soon(users, sim)
+    await trio.sleep(after)
+    await meeting(sim)
+    sim.state.refuses.clear()
+    sim.state.down = False
+    sim.network.heal()
+    for name in sorted(sim.network.dead):
+        sim.start(name)
+    calm = trio.current_time()
+    for id in CANCELLED:
+        if id not in sim.oracle.asked_cancel:
+            sim.nursery.start_soon(sim.cancel, id)
+    while trio.current_time() - calm < 200:
+        await trio.sleep(1.0)
+        now = trio.current_time()
+        sim.oracle.silent(now, calm)
+        sim.oracle.idle(now, sim.world)
+        sim.check()
+        if all(id in sim.final for id in IDS):
+            break
+    assert not [id for id in IDS if id not in sim.final]
+    assert [sim.final[id] for id in CANCELLED] == ["withdrawn"] * 2
+    await trio.sleep(TIMES.cancel_s + 1)  # nothing of what was cancelled may be left
+    for node in range(3):
+        for id in IDS:
+            await sim.poll(id, node)
+    sim.check()
+
+
+# --- random days: any two of them, at any distance --------------------------------------------
+
+RANDOM_DAYS = tuple(range(12))
+
+
+@pytest.mark.parametrize("seed", RANDOM_DAYS)
+def test_rules_hold_on_random_days(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The rules, and that nothing waits for ever, on days that nobody thought of."""
+    luck = random.Random(1000 + seed)
+    first, second = luck.sample(MEETINGS, 2)
+    apart, after = luck.uniform(0.0, TIMES.lease_s), luck.uniform(2.0, 8.0)
+
+    async def later(sim: Sim) -> None:
+        await trio.sleep(apart)
+        await second(sim)
+
+    async def both(sim: Sim) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first, sim)
+            nursery.start_soon(later, sim)
+
+    async def day(sim: Sim) -> None:
+        await play(sim, both, after)
+
+    run(monkeypatch, day, 1000 + seed)
+
+
 # --- an answer that meets the end of the last task -------------------------------------------
 
 
