--- a/standins/world.py
+++ b/standins/world.py
@@ -411,9 +411,10 @@
             await trio.sleep(0.1)
             now = trio.current_time()
             self.world.rules.check()
+            # One that hangs may go on within its lease only: beyond that it counts as gone.
+            self._check_lease()
             if self.hung:
                 continue
-            self._check_lease()
             for task, held in list(self.tasks.items()):
                 job = task.rpartition("/")[0]
                 spec = self.world.rules.specs[job]
