--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -35,6 +35,9 @@
 
 log = logging.getLogger("gangs")
 
+# Pieces that a job's record may fall into: it has to fit into one value of the store.
+RANGES = 40
+
 
 class Gangs(Slice):
     """Gangs, and other jobs that stay whole: planned over parts, kept room, started at once."""
@@ -427,20 +430,25 @@
                     patience = self.report_s * 2
                 if not failed and now - holding.since < patience:
                     continue
+                # What is done stays with the part that did it.
+                rest = merge(
+                    (a, b, p)
+                    for first, end, p in job.record.ranges
+                    for a, b in (
+                        [(first, end)] if p != part
+                        else [(t, t + 1) for t in range(first, end) if job.is_finished(t)]
+                    )
+                )
+                if len(rest) > RANGES:
+                    # Too many pieces for a record: all of it goes, once what is done is durable.
+                    if job.local:
+                        continue
+                    rest = [r for r in job.record.ranges if r[2] != part]
                 holding.since = now
                 holding.moving = True
                 version = job.version
                 work.ready.discard(job.id)
                 try:
-                    # What is done stays with the part that did it.
-                    rest = merge(
-                        (a, b, p)
-                        for first, end, p in job.record.ranges
-                        for a, b in (
-                            [(first, end)] if p != part
-                            else [(t, t + 1) for t in range(first, end) if job.is_finished(t)]
-                        )
-                    )
                     await self.split.write_ranges(
                         job,
                         {f"pt/parts/{part}": token},
--- a/pitchtally/control/levelling.py
+++ b/pitchtally/control/levelling.py
@@ -10,6 +10,7 @@
 
 from .. import wire
 from ..store import StoreDown
+from .gangs import RANGES
 from .holdings import Holding
 from .jobs import merge
 from .members import PartNote
@@ -77,7 +78,7 @@
                     continue
                 # A whole job stays where it has room: share comes to it. Sent after
                 # share, it would be in another part each time that share arrives.
-                if here >= waiting or len(holding.job.record.ranges) > 40:
+                if here >= waiting or len(holding.job.record.ranges) > RANGES:
                     continue
                 for other in self.split.notes.newest.values():
                     if other.part == part or not other.settled:
@@ -117,7 +118,7 @@
                 if self.split.parts.ready(work, id, h, now)
                 and not h.faulty
                 and not whole(h.job.spec)
-                and len(h.job.record.ranges) <= 40
+                and len(h.job.record.ranges) <= RANGES
             ]
             for _, id in sorted(rows, reverse=True)[:2]:
                 holding = work.holdings[id]
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -459,10 +459,12 @@
     job(1, rows=6, vcpus=2.0, oneZone=True, realBy=[2.0] + [60.0] * 5, ripenS=30.0),
     job(1, rows=3, vcpus=2.0, cut="gang", oneZone=True, realBy=[3.0, 60.0, 60.0]),
     job(1, rows=4, vcpus=2.0, spread=True, realBy=[2.0, 2.0, 60.0, 60.0], ripenS=30.0),
+    # every other task: too many pieces for one record
+    job(1, rows=100, vcpus=0.1, oneZone=True, realBy=[2.0, 60.0] * 50, ripenS=30.0),
 ]
 
 
-@pytest.mark.parametrize("spec", REST, ids=["array", "wide", "gang", "spread"])
+@pytest.mark.parametrize("spec", REST, ids=["array", "wide", "gang", "spread", "pieces"])
 def test_rest_of_a_whole_job_goes_on_elsewhere(
     spec: dict[str, Any], monkeypatch: pytest.MonkeyPatch
 ) -> None:
