--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -326,8 +326,17 @@
 SEEDS = (1, 2)
 
 
+# What no controller may take, whatever else goes on: a field is missing, or it can never run.
+ODD: list[dict[str, Any]] = [
+    *({k: v for k, v in sent(job(888888)).items() if k != name}
+      for name in ("crew", "rows", "vcpus", "cask", "oneZone", "ripenS")),
+    sent(job(888888, vcpus=99.0)), sent(job(888888, crew="nobody")),
+    sent(job(888888, presses=["none"])), sent(job(888888, crew="tight", vcpus=7.0)),
+]
+
+
 async def users(sim: Sim) -> None:
-    """They ask after every job, repeat submissions, and ask for jobs that nobody sent."""
+    """They ask after every job, repeat submissions, ask for what nobody sent, send rubbish."""
     luck = random.Random(7)
     while True:
         for spec in [sim.world.rules.specs[id] for id in list(sim.oracle.accepted)]:
@@ -338,6 +347,9 @@
                               repeat=True)
             elif roll < 0.15:
                 await sim.ask(node, "GET", "/api/jobs/wk-999999", about="wk-999999")
+            elif roll < 0.2:
+                odd = luck.choice(ODD)
+                await sim.ask(node, "POST", "/api/jobs", odd, about="wk-888888")
             else:
                 with trio.move_on_after(2.0):
                     await sim.poll(spec["ref"], node)
