--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -73,3 +73,19 @@
         sim.check()
 
     run(monkeypatch, day)
+
+
+def test_memory_of_failures_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A job that failed on every machine there is runs once its mistake is mended."""
+
+    async def day(sim: Sim) -> None:
+        sim.world.capacity = len(sim.world.workers)  # the cloud has no other machine
+        spec = job(1, rows=10, vcpus=1.0, broken=True)
+        await sim.submit(spec)
+        await trio.sleep(40)
+        assert sim.world.rules.failures > 0
+        spec["broken"] = False
+        await sim.finish([spec["ref"]], limit=90)
+        assert sim.final[spec["ref"]] == "done"
+
+    run(monkeypatch, day)
