--- a/.ci/start.py
+++ b/.ci/start.py
@@ -14,9 +14,22 @@
 FOLDER = ROOT / "target" / "try"
 NODE = "http://127.0.0.1:7010"
 JOB = {
-    "ref": "wk-000001", "vintage": "demo", "crew": "desk", "cut": "sweep", "rank": "standard",
-    "rows": 4, "vcpus": 1.0, "cards": 0.0, "memGb": 1.0, "cask": "img", "pullGb": 0.1,
-    "oneZone": False, "spread": False, "gleaning": True, "ripenS": 1.0, "rackS": 0.0,
+    "ref": "wk-000001",
+    "vintage": "demo",
+    "crew": "desk",
+    "cut": "sweep",
+    "rank": "standard",
+    "rows": 4,
+    "vcpus": 1.0,
+    "cards": 0.0,
+    "memGb": 1.0,
+    "cask": "img",
+    "pullGb": 0.1,
+    "oneZone": False,
+    "spread": False,
+    "gleaning": True,
+    "ripenS": 1.0,
+    "rackS": 0.0,
     "bottleS": 0.0,
 }
 
--- a/pitchtally/cli.py
+++ b/pitchtally/cli.py
@@ -31,8 +31,12 @@
 
 
 def set_up_logging() -> None:
-    levels = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG,
-              "warning": logging.WARNING}
+    levels = {
+        "error": logging.ERROR,
+        "info": logging.INFO,
+        "debug": logging.DEBUG,
+        "warning": logging.WARNING,
+    }
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(Logfmt())
     level = levels.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
--- a/pitchtally/commands.py
+++ b/pitchtally/commands.py
@@ -41,7 +41,10 @@
 
 
 _node = click.option(
-    "--node", default="127.0.0.1:8080", show_default=True, envvar="PITCHTALLY_NODE",
+    "--node",
+    default="127.0.0.1:8080",
+    show_default=True,
+    envvar="PITCHTALLY_NODE",
     help="Address of a controller or load balancer.",
 )
 
@@ -73,8 +76,9 @@
         return
     where = f"{answer['field']}: " if answer.get("field") else ""
     again = f" (come back in {after} s)" if after else ""
-    click.echo(f"pitchtally: {status}: {where}{answer.get('error', 'no reason given')}{again}",
-               err=True)
+    click.echo(
+        f"pitchtally: {status}: {where}{answer.get('error', 'no reason given')}{again}", err=True
+    )
     sys.exit(1)
 
 
--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -97,7 +97,8 @@
     if team is None:
         raise Invalid(422, _NAMES["team"], "unknown team")
     able = [
-        t for t in types.values()
+        t
+        for t in types.values()
         if (spec.types is None or t.name in spec.types)
         and fits(need_of(spec), (t.cpus, t.gpus, t.memory))
         and (spec.zone is None or spec.zone in t.zones)
@@ -106,7 +107,8 @@
         raise Invalid(422, _NAMES["types"], "a task fits no allowed machine type")
     at_once = spec.tasks if spec.kind == wire.GANG else 1
     for name, need, limit in (
-        ("cpus", spec.cpus, team.cpus_max), ("gpus", spec.gpus, team.gpus_max)
+        ("cpus", spec.cpus, team.cpus_max),
+        ("gpus", spec.gpus, team.gpus_max),
     ):
         if limit > 0 and need * at_once > limit + 1e-6:
             raise Invalid(422, _NAMES[name], "over the team's limit")
@@ -202,9 +204,9 @@
         size = 0
         for pending in list(self.waiting):
             size += len(pending.change.value or b"") + 300
-            if len(batch) >= self.store.limits.txn_ops or (batch and (
-                size > self.BYTES or len(batch) >= self.store.writes.burst
-            )):
+            if len(batch) >= self.store.limits.txn_ops or (
+                batch and (size > self.BYTES or len(batch) >= self.store.writes.burst)
+            ):
                 break
             # A repeat of an id goes alone, so that its condition can fail.
             if all(other.key != pending.key for other in batch):
@@ -230,6 +232,7 @@
         for pending in batch:
             conditions.update(pending.conditions)
         try:
+
             def sent() -> None:
                 for pending in batch:
                     pending.sent_at = trio.current_time()
@@ -295,8 +298,10 @@
             # In an outage for all, final answers, reports and honest refusals still
             # work; a node cut off alone sends users to those that can do more.
             ready = (
-                self.replica.seen >= 0 and bool(self.types())
-                and not self.cut_off() and not self.isolated()
+                self.replica.seen >= 0
+                and bool(self.types())
+                and not self.cut_off()
+                and not self.isolated()
             )
             return Response(200 if ready else 503, b"{}")
         if path.startswith("/api/jobs") and self.cut_off():
@@ -307,9 +312,7 @@
 
     def cut_off(self) -> bool:
         """Whether this node can't reach the store while a peer can."""
-        return (
-            self.store.failing_since is not None and self.members.peer_with_store() is not None
-        )
+        return self.store.failing_since is not None and self.members.peer_with_store() is not None
 
     def isolated(self) -> bool:
         """Whether neither the store nor any peer has answered this node of late."""
@@ -328,7 +331,7 @@
                 return _error(405, "method", "use POST")
             return await self.submit(request.body)
         if path.startswith("/api/jobs/"):
-            rest = path[len("/api/jobs/"):]
+            rest = path[len("/api/jobs/") :]
             if rest.endswith("/cancel"):
                 if request.method != "POST":
                     return _error(405, "method", "use POST")
@@ -392,9 +395,7 @@
             return _error(error.status, *str(error).split(": ", 1))
         wait = max(
             # Those that wait for the commit under way come first.
-            self.store.writes.wait_for(
-                tokens.ACCEPTANCES, 1 + len(self.acceptances.waiting)
-            ),
+            self.store.writes.wait_for(tokens.ACCEPTANCES, 1 + len(self.acceptances.waiting)),
             self.store.requests.wait_for(tokens.ACCEPTANCES),
         )
         if wait > self.policy.admit_wait:
@@ -420,8 +421,14 @@
             if token is not None:
                 conditions[f"pt/parts/{part}"] = token
         record = Record(
-            jobs.OPEN, spec.tasks, spec, round(time.time(), 3), plan.ranges, zone=plan.zone,
-            attempt=plan.attempt, caps=plan.caps,
+            jobs.OPEN,
+            spec.tasks,
+            spec,
+            round(time.time(), 3),
+            plan.ranges,
+            zone=plan.zone,
+            attempt=plan.attempt,
+            caps=plan.caps,
         )
         change = Write(key, encode(record))
         if len(change.value or b"") > self.store.limits.value_kb * 1024:
@@ -431,8 +438,13 @@
         await self.acceptances.commit(pending)
         took = trio.current_time() - at
         if took > self.policy.admit_wait:
-            log.info("slow acceptance job=%s took=%.2f tokens=%.2f behind=%d", spec.id, took,
-                     pending.sent_at - at, len(self.acceptances.waiting))
+            log.info(
+                "slow acceptance job=%s took=%.2f tokens=%.2f behind=%d",
+                spec.id,
+                took,
+                pending.sent_at - at,
+                len(self.acceptances.waiting),
+            )
         if key in pending.failed:
             return await self.poll(spec.id)
         if pending.failed:
--- a/pitchtally/control/evidence.py
+++ b/pitchtally/control/evidence.py
@@ -97,4 +97,3 @@
 def blind_most(times: WorkerTimes) -> float:
     """The longest that an owner may renew leases without news of cancellations."""
     return (times.cancel_s - timer(times)) / DRIFT - times.lease_s * DRIFT
-
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -160,7 +160,10 @@
         for new in found:
             old = self.types[new.name]
             if (new.cpus, new.gpus, new.memory, new.zones) != (
-                old.cpus, old.gpus, old.memory, old.zones
+                old.cpus,
+                old.gpus,
+                old.memory,
+                old.zones,
             ):
                 return True
             if abs((new.spot_price or 0) - (old.spot_price or 0)) > 0.1 * (old.spot_price or 1):
@@ -361,9 +364,7 @@
 
     def _needed(self, note: MachineNote, waits: list[wire.JobSpec]) -> bool:
         kind = self.types.get(note.type)
-        return kind is None or any(
-            group_ok(spec, kind, note.zone, note.spot) for spec in waits
-        )
+        return kind is None or any(group_ok(spec, kind, note.zone, note.spot) for spec in waits)
 
     def _observe_demand(self, now: float) -> None:
         """Remember how many tasks of each shape ran or waited at once lately."""
@@ -372,8 +373,9 @@
             spec = job.spec
             left = spec.tasks - job.finished.count
             shape = (spec.job_class, spec.types, spec.zone, spec.spot)
-            counts[shape] = counts.get(shape, 0) + min(left, 1 + self.split.teams.limit_left(spec)
-                                                       + self.split.notes.running(job.id))
+            counts[shape] = counts.get(shape, 0) + min(
+                left, 1 + self.split.teams.limit_left(spec) + self.split.notes.running(job.id)
+            )
         window = self.policy.ready_for
         for key, count in counts.items():
             self.demand.setdefault(key, []).append((now, count))
@@ -490,8 +492,7 @@
             spec = found.spec
             shape = (spec.job_class, spec.types, spec.zone, spec.spot)
             _, seconds, total = shapes.get(shape, (spec, 0.0, 0))
-            shapes[shape] = (spec, seconds + count * self.split.estimates.task(spec),
-                             total + count)
+            shapes[shape] = (spec, seconds + count * self.split.estimates.task(spec), total + count)
         for spec, seconds, total in shapes.values():
             need = need_of(spec)
             # More machines than the team's limit can fill would only cost.
@@ -517,12 +518,15 @@
             if slots and seconds / slots <= patience:
                 continue
             free = sum(
-                times(need, n.free) for n in notes.values()
-                if not n.flag and (k := self.types.get(n.type)) is not None
+                times(need, n.free)
+                for n in notes.values()
+                if not n.flag
+                and (k := self.types.get(n.type)) is not None
                 and group_ok(spec, k, n.zone, n.spot)
             )
             coming = sum(
-                times(need, (k.cpus, k.gpus, k.memory)) for b in self.booting.values()
+                times(need, (k.cpus, k.gpus, k.memory))
+                for b in self.booting.values()
                 if (k := self.types.get(b.group.type)) is not None
                 and group_ok(spec, k, b.group.zone, b.group.spot)
             )
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -413,8 +413,10 @@
                     continue
                 if not holding.pool.count:
                     continue
-                failed = not begun and job.record.attempt and (
-                    holding.tried == job.record.attempt or not covered(job)
+                failed = (
+                    not begun
+                    and job.record.attempt
+                    and (holding.tried == job.record.attempt or not covered(job))
                 )
                 patience = limit
                 if self.kept_for(part, job.id):
@@ -435,7 +437,8 @@
                     (a, b, p)
                     for first, end, p in job.record.ranges
                     for a, b in (
-                        [(first, end)] if p != part
+                        [(first, end)]
+                        if p != part
                         else [(t, t + 1) for t in range(first, end) if job.is_finished(t)]
                     )
                 )
--- a/pitchtally/control/machines.py
+++ b/pitchtally/control/machines.py
@@ -21,8 +21,24 @@
 class Placement:
     """A task on a machine, from the order to start it until it is known to be gone."""
 
-    __slots__ = ("at", "attempt", "grace", "job", "key", "kill_at", "machine", "need", "rank",
-                 "run_at", "seen", "sent_seq", "spec", "state", "task", "team")
+    __slots__ = (
+        "at",
+        "attempt",
+        "grace",
+        "job",
+        "key",
+        "kill_at",
+        "machine",
+        "need",
+        "rank",
+        "run_at",
+        "seen",
+        "sent_seq",
+        "spec",
+        "state",
+        "task",
+        "team",
+    )
 
     def __init__(self, job: Job, task: int, attempt: int, machine: Machine):
         self.job = job
@@ -44,11 +60,42 @@
 
 
 class Machine:
-    __slots__ = ("address", "answered_at", "asked", "confirmed", "drain", "errors", "exits",
-                 "failed_at", "failed_jobs", "forgot_at", "group", "heard_at", "idle_since",
-                 "images", "kind", "lost", "name", "notice_at", "orphans", "part", "placements",
-                 "recorded", "reported", "reserved", "resting_until", "seq", "session", "slow",
-                 "spot", "type", "unheeded", "used", "yielding", "zone")
+    __slots__ = (
+        "address",
+        "answered_at",
+        "asked",
+        "confirmed",
+        "drain",
+        "errors",
+        "exits",
+        "failed_at",
+        "failed_jobs",
+        "forgot_at",
+        "group",
+        "heard_at",
+        "idle_since",
+        "images",
+        "kind",
+        "lost",
+        "name",
+        "notice_at",
+        "orphans",
+        "part",
+        "placements",
+        "recorded",
+        "reported",
+        "reserved",
+        "resting_until",
+        "seq",
+        "session",
+        "slow",
+        "spot",
+        "type",
+        "unheeded",
+        "used",
+        "yielding",
+        "zone",
+    )
 
     def __init__(self, name: str, part: int, type: str, zone: str, spot: bool, address: str):
         now = trio.current_time()
@@ -98,7 +145,7 @@
     def yields(self, rank: int) -> Need:
         """What work of lower rank than this one holds."""
         a = b = c = 0.0
-        for x, y, z in self.yielding[rank + 1:]:
+        for x, y, z in self.yielding[rank + 1 :]:
             a, b, c = a + x, b + y, c + z
         return (a, b, c)
 
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -189,8 +189,9 @@
         self.owners: dict[int, tuple[Owner, int]] = {}
         self.alive: dict[str, Node] = {}
         self.fences: dict[int, int] = {}
-        self.peers = {m.name: Peer(m.name, m.address) for m in settings.members
-                      if m.name != settings.name}
+        self.peers = {
+            m.name: Peer(m.name, m.address) for m in settings.members if m.name != settings.name
+        }
         self.client = Client(keep=2)
         self.lease: int | None = None
         self.deaf = False
@@ -417,9 +418,16 @@
         self._sent += 1
         now = trio.current_time()
         beat = Heartbeat(
-            self.me, self.incarnation, self._sent, self.replica.seen,
-            min(NEVER, now - self.replica.fresh_at), min(NEVER, now - self.sure_at()),
-            [], [], [], [],
+            self.me,
+            self.incarnation,
+            self._sent,
+            self.replica.seen,
+            min(NEVER, now - self.replica.fresh_at),
+            min(NEVER, now - self.sure_at()),
+            [],
+            [],
+            [],
+            [],
         )
         beat.tokens = [(part, token) for part, (_, token) in self.owners.items()]
         self.fill_in(beat, seen)
@@ -466,8 +474,10 @@
         limit = self.policy.session_ttl
         for peer in self.peers.values():
             answer = peer.answer
-            if answer is not None and not peer.failing and (
-                now - answer.asked_at < limit and answer.store_age < limit
+            if (
+                answer is not None
+                and not peer.failing
+                and (now - answer.asked_at < limit and answer.store_age < limit)
             ):
                 return peer
         return None
@@ -512,9 +522,7 @@
         elif isinstance(message, Cancelled):
             self.on_cancel(message.cancellation)
         elif isinstance(message, Forward):
-            found = await self.on_forward(
-                Request(message.method, message.path, {}, message.body)
-            )
+            found = await self.on_forward(Request(message.method, message.path, {}, message.body))
             reply = Forwarded(found.status, found.body, dict(found.headers).get("Retry-After", ""))
         return Response(200, _encode(reply), type="application/msgpack")
 
--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -88,8 +88,7 @@
         found.extend(
             aim.within_s - task
             for aim in self.aims.get(spec.job_class, ())
-            if aim.kind == "finished" and aim.within_s is not None
-            and (aim.share or 0.0) >= STRICT
+            if aim.kind == "finished" and aim.within_s is not None and (aim.share or 0.0) >= STRICT
         )
         return max(0.0, min(found))
 
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -179,8 +179,12 @@
             holding.probes += 1
             pause = self.report_s * min(2.0**holding.probes, 16.0)
             holding.not_before = now + pause
-            log.info("job fails wherever it goes job=%s machines=%d pause=%.1f",
-                     holding.job.id, len(holding.failed_on), pause)
+            log.info(
+                "job fails wherever it goes job=%s machines=%d pause=%.1f",
+                holding.job.id,
+                len(holding.failed_on),
+                pause,
+            )
         for name in holding.failed_on:
             other = self.workers.machines.get(name)
             if other is not None and other.failed_jobs.pop(holding.job.id, None) is not None:
@@ -223,8 +227,12 @@
             return
         now = trio.current_time()
         if machine.resting_until < now:
-            log.info("machine rests machine=%s jobs=%d errors=%d", machine.name,
-                     len(machine.failed_jobs), machine.errors)
+            log.info(
+                "machine rests machine=%s jobs=%d errors=%d",
+                machine.name,
+                len(machine.failed_jobs),
+                machine.errors,
+            )
         machine.resting_until = now + self.policy.sick_rest
 
     def machine_ok(self, holding: Holding, machine: Machine) -> bool:
@@ -241,8 +249,10 @@
         # Also what the machine remembers: a holding is new after a move or a takeover. Not
         # for ever: a machine may be well again, and there may be no other.
         if holding.failed_on or machine.failed_at:
-            at = max(holding.failed_on.get(machine.name, -1e9),
-                     machine.failed_at.get(holding.job.id, -1e9))
+            at = max(
+                holding.failed_on.get(machine.name, -1e9),
+                machine.failed_at.get(holding.job.id, -1e9),
+            )
             if trio.current_time() - at < self.policy.sick_rest:
                 return False
         return not holding.one_zone or holding.job.record.zone == machine.zone
--- a/pitchtally/control/reach.py
+++ b/pitchtally/control/reach.py
@@ -73,9 +73,7 @@
                     if machine is not None and held is not None and machine.confirmed:
                         nursery.start_soon(self._tell, machine, held, limit)
 
-    async def _tell(
-        self, machine: Machine, hold: PartHold, limit: trio.CapacityLimiter
-    ) -> None:
+    async def _tell(self, machine: Machine, hold: PartHold, limit: trio.CapacityLimiter) -> None:
         async with limit:
             for _ in range(2):
                 if self.members.token(hold.part) != hold.token:
@@ -84,7 +82,10 @@
                 body = encode(wire.DirectOrders(hold.token, max(1, machine.session), orders))
                 try:
                     response = await self.client.call(
-                        host_port(machine.address), "POST", "/commands", body,
+                        host_port(machine.address),
+                        "POST",
+                        "/commands",
+                        body,
                         timeout=self.policy.call_timeout,
                     )
                     if response.status not in (200, 409):
@@ -109,12 +110,11 @@
             await trio.sleep(self.times.report_s)
             now = trio.current_time()
             mine = [
-                m for m in self.workers.machines.values()
+                m
+                for m in self.workers.machines.values()
                 if m.address and m.name not in self.workers.released
             ]
-            if not self.members.deaf and (
-                not mine or now - self.heard_at < self.times.lease_s / 4
-            ):
+            if not self.members.deaf and (not mine or now - self.heard_at < self.times.lease_s / 4):
                 continue
             # Machines of other parts count too: where ours are gone but others
             # answer, handing our part on would help nobody.
@@ -129,7 +129,9 @@
             for machine in mine:
                 try:
                     response = await self.client.call(
-                        host_port(machine.address), "GET", "/status",
+                        host_port(machine.address),
+                        "GET",
+                        "/status",
                         timeout=self.policy.call_timeout / 2,
                     )
                     heard = heard or response.status == 200
--- a/pitchtally/control/rooms.py
+++ b/pitchtally/control/rooms.py
@@ -17,9 +17,7 @@
 
 def fits(need: Need, room: Need) -> bool:
     # Written out: asked some ten thousand times a second.
-    return (
-        need[0] <= room[0] + 1e-6 and need[1] <= room[1] + 1e-6 and need[2] <= room[2] + 1e-6
-    )
+    return need[0] <= room[0] + 1e-6 and need[1] <= room[1] + 1e-6 and need[2] <= room[2] + 1e-6
 
 
 def times(need: Need, room: Need) -> int:
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -42,16 +42,34 @@
             settings, policy, self.members, self.book, self.replica, lambda: self.fleet.types
         )
         self.split = Split(
-            settings, policy, self.members, self.book, self.workers, self.replica,
+            settings,
+            policy,
+            self.members,
+            self.book,
+            self.workers,
+            self.replica,
             lambda: self.fleet.types,
         )
         self.fleet = Fleet(
-            settings, policy, self.members, self.book, self.workers, self.split, self.store,
+            settings,
+            policy,
+            self.members,
+            self.book,
+            self.workers,
+            self.split,
+            self.store,
             self.replica,
         )
         self.api = Api(
-            settings, policy, self.members, self.store, self.replica, self.book, self.workers,
-            self.split, lambda: self.fleet.types,
+            settings,
+            policy,
+            self.members,
+            self.store,
+            self.replica,
+            self.book,
+            self.workers,
+            self.split,
+            lambda: self.fleet.types,
         )
         self._connect()
 
@@ -92,17 +110,36 @@
         # One survivor of three may get every worker, and every user: what our own calls
         # take (`OUTWARD`, by the slices) and peers need is set aside, the rest is theirs.
         connections = self.settings.deployment.machine_limits.max_connections
-        users = Server(self.api.serve, max_connections=int(connections * (1 - OUTWARD - PEERS)),
-                       idle=times.lease_s * 3, request_time=times.report_s * 2,
-                       vital=frozenset({REPORTS}))
-        peers = Server(self._serve_peer, max_connections=int(connections * PEERS),
-                       idle=times.lease_s, request_time=times.report_s, max_body=1 << 22)
+        users = Server(
+            self.api.serve,
+            max_connections=int(connections * (1 - OUTWARD - PEERS)),
+            idle=times.lease_s * 3,
+            request_time=times.report_s * 2,
+            vital=frozenset({REPORTS}),
+        )
+        peers = Server(
+            self._serve_peer,
+            max_connections=int(connections * PEERS),
+            idle=times.lease_s,
+            request_time=times.report_s,
+            max_body=1 << 22,
+        )
         loops: list[Callable[[], Awaitable[None]]] = [
-            self.members.run_clock, self.replica.run, self.members.run_lease,
-            self.members.run_ownership, self.book.run,
-            self.workers.run_expiry, self.workers.reach.run, self.workers.reach.run_deaf,
-            self.workers.records.run, self.split.run, self.split.run_splitting,
-            self.fleet.run, self.fleet.run_types, self.api.certifier.run, self._own_drain,
+            self.members.run_clock,
+            self.replica.run,
+            self.members.run_lease,
+            self.members.run_ownership,
+            self.book.run,
+            self.workers.run_expiry,
+            self.workers.reach.run,
+            self.workers.reach.run_deaf,
+            self.workers.records.run,
+            self.split.run,
+            self.split.run_splitting,
+            self.fleet.run,
+            self.fleet.run_types,
+            self.api.certifier.run,
+            self._own_drain,
             *[self.api.acceptances.run] * Acceptances.LOOPS,
         ]
         async with trio.open_nursery() as nursery:
@@ -115,10 +152,14 @@
                 nursery.start_soon(self._always, loop)
             for peer in self.members.peers.values():
                 nursery.start_soon(self._always, lambda p=peer: self.members.run_beats(p))
-            log.info("serving node=%s address=%s objectives=%s", self.settings.name,
-                     self.settings.public_addr,
-                     ",".join(f"{o.kind}:{o.job_class or ''}"
-                              for o in self.settings.deployment.objectives))
+            log.info(
+                "serving node=%s address=%s objectives=%s",
+                self.settings.name,
+                self.settings.public_addr,
+                ",".join(
+                    f"{o.kind}:{o.job_class or ''}" for o in self.settings.deployment.objectives
+                ),
+            )
 
     async def _always(self, loop: Callable[[], Awaitable[None]]) -> None:
         """A fault in one loop is logged and the loop begun again; the process lives on."""
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -226,7 +226,12 @@
         )
 
     async def settle(
-        self, error: StoreDown, key: str, version: int, part: int, token: int,
+        self,
+        error: StoreDown,
+        key: str,
+        version: int,
+        part: int,
+        token: int,
         value: Callable[[], bytes],
     ) -> None:
         """After a commit without an answer, nothing goes on until it can't happen any more.
@@ -241,7 +246,8 @@
         while self.replica.version(key) == version and self.members.token(part) == token:
             try:
                 await self.book.commit(
-                    {key: version, f"pt/parts/{part}": token}, [Write(key, value())],
+                    {key: version, f"pt/parts/{part}": token},
+                    [Write(key, value())],
                     priority=tokens.ACCEPTANCES,
                 )
             except StoreDown as again:
--- a/pitchtally/control/stretch.py
+++ b/pitchtally/control/stretch.py
@@ -95,9 +95,7 @@
 
 def gap(queue: Sequence[Entry], stretch: float, release: float, size: float, now: float) -> float:
     """Algorithm 3: machine-seconds free for a new application at this stretch (h)."""
-    return gap_in(
-        line(queue, stretch, now), deadline(release, size, stretch), max(release, now)
-    )
+    return gap_in(line(queue, stretch, now), deadline(release, size, stretch), max(release, now))
 
 
 def capacity(free: float, task: float) -> int:
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -165,7 +165,6 @@
         if machine is not None:
             self.in_part.get(machine.part, {}).pop(name, None)
 
-
     def load(self, hold: PartHold) -> None:
         """Once our copy covers the takeover, the record says where tasks may be."""
         if hold.loaded or self.replica.seen < hold.token:
@@ -190,8 +189,7 @@
         if hold.settled or not hold.loaded or hold.suspects:
             return
         hold.settled = True
-        log.info("part settled part=%d after=%.1f", hold.part,
-                 trio.current_time() - hold.gained_at)
+        log.info("part settled part=%d after=%.1f", hold.part, trio.current_time() - hold.gained_at)
         self.on_settled(hold.part)
 
     def _add(self, name: str, type_: str, zone: str, spot: bool, address: str) -> Machine:
@@ -272,8 +270,9 @@
         machine.asked = []
         machine.unheeded = machine.unheeded + 1 if unheard else 0
         if machine.unheeded == UNHEEDED:
-            log.info("answers don't reach machine=%s tasks=%d", machine.name,
-                     len(machine.placements))
+            log.info(
+                "answers don't reach machine=%s tasks=%d", machine.name, len(machine.placements)
+            )
 
     def observe(self, report: wire.Report, hold: PartHold, *, direct: bool) -> Machine | None:
         """Take in a report; None if it is older than what is known, or may be.
@@ -289,8 +288,9 @@
                 machine.seq = -1
             return None
         if machine is None:
-            machine = self._add(report.machine, report.type, report.zone, report.spot,
-                                report.address)
+            machine = self._add(
+                report.machine, report.type, report.zone, report.spot, report.address
+            )
         if (report.session, report.seq) <= (machine.session, machine.seq):
             return None
         if machine.kind is None:
@@ -355,8 +355,9 @@
                 # answer may have been made while our response was on its way.
                 continue
             self._gone(placement, "missing")
-        machine.exits = {k: v for k, v in machine.exits.items()
-                         if k in listed and listed[k].attempt == v[0]}
+        machine.exits = {
+            k: v for k, v in machine.exits.items() if k in listed and listed[k].attempt == v[0]
+        }
         machine.orphans.clear()
         for key, task_ in listed.items():
             placement_ = machine.placements.get(key)
@@ -522,7 +523,6 @@
 
     # --- loops ------------------------------------------------------------------------
 
-
     async def run_expiry(self) -> None:
         """Give up what silent machines held, once their lease must have ended."""
         while True:
@@ -536,11 +536,14 @@
                     continue
                 silent = now - max(machine.heard_at, stood)
                 held = not machine.lost or machine.placements
-                if machine.confirmed and held and owned > lease_over(
-                    machine.answered_at, self.times
+                if (
+                    machine.confirmed
+                    and held
+                    and owned > lease_over(machine.answered_at, self.times)
                 ):
-                    log.info("lease over machine=%s tasks=%d", machine.name,
-                             len(machine.placements))
+                    log.info(
+                        "lease over machine=%s tasks=%d", machine.name, len(machine.placements)
+                    )
                     # Only our answers could renew, and none has for a whole lease. Cut off
                     # from all who could tell, we wait: a new owner may be renewing it.
                     machine.lost = True
@@ -569,7 +572,6 @@
             self._settle(hold)
         self.records.wake.set()
 
-
     # --- views --------------------------------------------------------------------------
 
     def of_part(self, part: int) -> Collection[Machine]:
--- a/pitchtally/http.py
+++ b/pitchtally/http.py
@@ -119,7 +119,7 @@
         found = cls._LENGTH.search(data, first, end)
         if found is None:
             return data[first:end], None
-        return data[first:found.start(1)] + data[found.end(1):end], int(found[1])
+        return data[first : found.start(1)] + data[found.end(1) : end], int(found[1])
 
     def known(self, data: bytes) -> tuple[str, str, int, int] | None:
         """Method, path, where the body starts and its length, if h11 knows such a head."""
@@ -221,8 +221,9 @@
 
     def _make_room(self) -> bool:
         """End the connection that has been idle longest; False if all are needed."""
-        idle = [(k.idle_since, id(k), k) for k in self.links
-                if k.idle_since is not None and not k.vital]
+        idle = [
+            (k.idle_since, id(k), k) for k in self.links if k.idle_since is not None and not k.vital
+        ]
         if not idle:
             return False
         link = min(idle)[2]
@@ -344,9 +345,7 @@
             log.exception("handler fault path=%s", request.path)
             return _fault(503, "internal fault", [("Retry-After", "1")])
 
-    async def _read(
-        self, conn: h11.Connection, sock: socket.socket, head: h11.Request
-    ) -> Request:
+    async def _read(self, conn: h11.Connection, sock: socket.socket, head: h11.Request) -> Request:
         for name, value in head.headers:
             if name == b"content-length" and value.isdigit() and int(value) > self.max_body:
                 raise BadRequest(400, "body: over 64 KiB")
@@ -436,7 +435,11 @@
     """Calls one kind of server; keeps idle connections for each address."""
 
     def __init__(
-        self, *, keep: int = 4, most: int = 64, idle: float = 20.0,
+        self,
+        *,
+        keep: int = 4,
+        most: int = 64,
+        idle: float = 20.0,
         max_body: int = 4 * 1024 * 1024,
     ):
         self.keep = keep
@@ -554,7 +557,7 @@
                 pieces.append(await self._some(sock))
                 missing -= len(pieces[-1])
             # More than was asked for: whose answer it is nobody can tell.
-            return Response(status, b"".join(pieces)[end:end + length], list(found)), not missing
+            return Response(status, b"".join(pieces)[end : end + length], list(found)), not missing
         return await self._slowly(sock, self._asked(method, address)[0], data, end)
 
     def _asked(self, method: str, address: tuple[str, int]) -> tuple[h11.Connection, bytes]:
@@ -594,9 +597,14 @@
         # for more than the answer.
         good = conn.their_state is h11.DONE and not conn.trailing_data[0]
         lengths = [int(v) for n, v in found if n == "content-length"]
-        if good and 4 <= end <= _Heads.LONGEST and head.http_version == b"1.1" and (
-            lengths == [len(got)] and not any(n in ("connection", "transfer-encoding")
-                                              for n, _ in found)
+        if (
+            good
+            and 4 <= end <= _Heads.LONGEST
+            and head.http_version == b"1.1"
+            and (
+                lengths == [len(got)]
+                and not any(n in ("connection", "transfer-encoding") for n, _ in found)
+            )
         ):
             headers, length = _Heads.cut(data, 0, end)
             if length == len(got):
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -153,9 +153,7 @@
                 puts.append(wire.Delete(change.key))
             else:
                 puts.append(wire.Put(change.key, msgspec.Raw(change.value), change.lease))
-        body = encode(
-            wire.Transaction([wire.Condition(k, v) for k, v in conditions.items()], puts)
-        )
+        body = encode(wire.Transaction([wire.Condition(k, v) for k, v in conditions.items()], puts))
         if changes:
             await self.writes.take(priority, len(changes))
         if on_sent is not None:
@@ -177,9 +175,7 @@
         return self._decode(_lease, answer).lease
 
     async def renew(self, lease: int) -> None:
-        status, _ = await self._call(
-            "POST", f"/leases/{lease}/extend", priority=tokens.LEASES
-        )
+        status, _ = await self._call("POST", f"/leases/{lease}/extend", priority=tokens.LEASES)
         if status == 404:
             raise NoLease
         if status != 200:
@@ -247,7 +243,7 @@
         for prefix, listener in self.listeners:
             if key.startswith(prefix):
                 try:
-                    listener(key[len(prefix):], value, version)
+                    listener(key[len(prefix) :], value, version)
                 except Exception:
                     # A record that one slice cannot read must not stop the copy.
                     log.exception("listener fault key=%s", key)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -17,10 +17,26 @@
 from .world import Network, World
 
 TYPES: dict[str, dict[str, Any]] = {
-    "small": {"vcpus": 8.0, "memGb": 32.0, "cards": 0.0, "rate": 0.5, "spotPrice": 0.2,
-              "readyS": 3.0, "fetchGbPerS": 1.0, "parcels": ["a", "b"]},
-    "cards": {"vcpus": 16.0, "memGb": 64.0, "cards": 2.0, "rate": 4.0, "spotPrice": 1.5,
-              "readyS": 3.0, "fetchGbPerS": 1.0, "parcels": ["a"]},
+    "small": {
+        "vcpus": 8.0,
+        "memGb": 32.0,
+        "cards": 0.0,
+        "rate": 0.5,
+        "spotPrice": 0.2,
+        "readyS": 3.0,
+        "fetchGbPerS": 1.0,
+        "parcels": ["a", "b"],
+    },
+    "cards": {
+        "vcpus": 16.0,
+        "memGb": 64.0,
+        "cards": 2.0,
+        "rate": 4.0,
+        "spotPrice": 1.5,
+        "readyS": 3.0,
+        "fetchGbPerS": 1.0,
+        "parcels": ["a"],
+    },
 }
 STATE, CLOUD, FIRST = 7001, 7002, 7010
 NODES = 3
@@ -62,7 +78,12 @@
         self.client = Client()
 
     async def call(
-        self, address: tuple[str, int], method: str, target: str, body: bytes = b"", *,
+        self,
+        address: tuple[str, int],
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
         timeout: float,
     ) -> Response:
         return await self.client.call(address, method, target, body, timeout=timeout)
@@ -91,10 +112,18 @@
     for n in range(NODES):
         members = "\n".join(
             f'[[members]]\nnode_name = "node-{m}"\naddress = "127.0.0.1:{FIRST + 2 * m + 1}"'
-            for m in range(NODES) if m != n
+            for m in range(NODES)
+            if m != n
+        )
+        text = SETTINGS.format(
+            n=n,
+            public=FIRST + 2 * n,
+            peer=FIRST + 2 * n + 1,
+            count=NODES,
+            members=members,
+            cloud=CLOUD,
+            state=STATE,
         )
-        text = SETTINGS.format(n=n, public=FIRST + 2 * n, peer=FIRST + 2 * n + 1, count=NODES,
-                               members=members, cloud=CLOUD, state=STATE)
         (folder / f"node-{n}.toml").write_text(text)
 
 
@@ -102,8 +131,16 @@
     write_settings(folder)
     network, state = Loopback(), State()
     nodes = [(f"node-{n}", ("127.0.0.1", FIRST + 2 * n)) for n in range(NODES)]
-    world = World(network, nodes, TYPES, report_s=1.0, lease_s=10.0, cancel_s=25.0,
-                  gang_wait_s=12.0, capacity=12)
+    world = World(
+        network,
+        nodes,
+        TYPES,
+        report_s=1.0,
+        lease_s=10.0,
+        cancel_s=25.0,
+        gang_wait_s=12.0,
+        capacity=12,
+    )
     world.rules.specs = Specs(state)
     world.host = "127.0.0.1"
 
--- a/standins/state.py
+++ b/standins/state.py
@@ -96,10 +96,12 @@
             prefix, after = query.get("starts", ""), query.get("since", "")
             limit = int(query.get("limit", "1000"))
             keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-            items = [{"path": k, "v": self.items[k][0], "stamp": self.items[k][1]}
-                     for k in keys[:limit]]
-            return _answer(200, {"items": items, "truncated": len(keys) > limit,
-                                 "ledger": self.revision})
+            items = [
+                {"path": k, "v": self.items[k][0], "stamp": self.items[k][1]} for k in keys[:limit]
+            ]
+            return _answer(
+                200, {"items": items, "truncated": len(keys) > limit, "ledger": self.revision}
+            )
         key = path.removeprefix("/store/")
         if key not in self.items:
             return _answer(404, {"ledger": self.revision})
@@ -110,8 +112,11 @@
         for write in body["writes"]:
             if write.get("permit") is not None and write["permit"] not in self.leases:
                 return _answer(400, {"error": "no such lease"})
-        failed = [c["path"] for c in body["if"]
-                  if (self.items[c["path"]][1] if c["path"] in self.items else 0) != c["stamp"]]
+        failed = [
+            c["path"]
+            for c in body["if"]
+            if (self.items[c["path"]][1] if c["path"] in self.items else 0) != c["stamp"]
+        ]
         if failed:
             return _answer(409, {"failed": failed, "ledger": self.revision})
         if body["writes"]:
@@ -131,7 +136,8 @@
             return _answer(410, {})
         while True:
             found = [
-                {"remove": key, "stamp": revision} if value is None
+                {"remove": key, "stamp": revision}
+                if value is None
                 else {"write": key, "v": value, "stamp": revision}
                 for revision, key, value in self.log
                 if revision > since and key.startswith(prefix)
--- a/standins/world.py
+++ b/standins/world.py
@@ -148,8 +148,13 @@
         network = self
 
         async def call(
-            self: Client, address: tuple[str, int], method: str, target: str,
-            body: bytes = b"", *, timeout: float,
+            self: Client,
+            address: tuple[str, int],
+            method: str,
+            target: str,
+            body: bytes = b"",
+            *,
+            timeout: float,
         ) -> Response:
             return await network.call(address, method, target, body, timeout=timeout)
 
@@ -197,8 +202,11 @@
             self.broken.append(f"wrong_place spread {task}")
         self.places[task] = (worker.name, worker.zone)
         team = spec["crew"]
-        used = sum(self.specs[t.rpartition("/")[0]]["vcpus"] for t in self.places
-                   if self.specs[t.rpartition("/")[0]]["crew"] == team)
+        used = sum(
+            self.specs[t.rpartition("/")[0]]["vcpus"]
+            for t in self.places
+            if self.specs[t.rpartition("/")[0]]["crew"] == team
+        )
         self.first.setdefault(job, trio.current_time())
         self.most[team] = max(self.most.get(team, 0.0), used)
         if self.limits.get(team, 0) and used > self.limits[team] + 1e-6:
@@ -251,14 +259,27 @@
     def report(self) -> dict[str, Any]:
         self.seq += 1
         return {
-            "vat": self.name, "address": self.address, "press": self.type, "parcel": self.zone,
-            "recallS": None if self.notice_at is None
+            "vat": self.name,
+            "address": self.address,
+            "press": self.type,
+            "parcel": self.zone,
+            "recallS": None
+            if self.notice_at is None
             else max(0.0, self.notice_at - trio.current_time()),
-            "gleaning": self.spot, "shift": self.session, "tally": self.seq, "seal": self.token,
-            "rows": [{"row": t, "pressing": s["attempt"], "stage": s["state"],
-                      **({"cause": s["cause"]} if s["state"] == "ended" else {}),
-                      **({"saved": True} if s.get("saved") else {})}
-                     for t, s in self.tasks.items()],
+            "gleaning": self.spot,
+            "shift": self.session,
+            "tally": self.seq,
+            "seal": self.token,
+            "rows": [
+                {
+                    "row": t,
+                    "pressing": s["attempt"],
+                    "stage": s["state"],
+                    **({"cause": s["cause"]} if s["state"] == "ended" else {}),
+                    **({"saved": True} if s.get("saved") else {}),
+                }
+                for t, s in self.tasks.items()
+            ],
         }
 
     async def run(self) -> None:
@@ -351,8 +372,11 @@
         elif held is not None and held["state"] != "ended":
             return
         else:
-            used = sum(self.world.rules.specs[t.rpartition("/")[0]]["vcpus"]
-                       for t, s in self.tasks.items() if s["state"] != "ended")
+            used = sum(
+                self.world.rules.specs[t.rpartition("/")[0]]["vcpus"]
+                for t, s in self.tasks.items()
+                if s["state"] != "ended"
+            )
             if used + spec["vcpus"] > self.world.types[self.type]["vcpus"] + 1e-6:
                 state["cause"] = "full"
             elif self.sick:
@@ -360,14 +384,20 @@
                 self.world.rules.failures += 1
             else:
                 gang = spec["cut"] == "gang" and spec["rows"] > 1
-                state = {"attempt": attempt, "state": "waiting" if gang else "running",
-                         "since": trio.current_time()}
+                state = {
+                    "attempt": attempt,
+                    "state": "waiting" if gang else "running",
+                    "since": trio.current_time(),
+                }
                 self.world.rules.start(self, task)
         self.tasks[task] = state
 
     def _end(self, task: str, cause: str) -> None:
-        self.tasks[task] = {"attempt": self.tasks[task]["attempt"], "state": "ended",
-                            "cause": cause}
+        self.tasks[task] = {
+            "attempt": self.tasks[task]["attempt"],
+            "state": "ended",
+            "cause": cause,
+        }
         self.world.rules.leave(task)
         self.changed.set()
 
@@ -420,8 +450,11 @@
                 spec = self.world.rules.specs[job]
                 if held["state"] == "waiting":
                     mates = self.world.gang(job, held["attempt"])
-                    if len(mates) + len([t for t in self.world.rules.done
-                                         if t.rpartition("/")[0] == job]) >= spec["rows"]:
+                    if (
+                        len(mates)
+                        + len([t for t in self.world.rules.done if t.rpartition("/")[0] == job])
+                        >= spec["rows"]
+                    ):
                         held.update(state="running", since=now)
                         self.changed.set()
                     elif now - held["since"] > self.world.gang_wait_s:
@@ -472,9 +505,14 @@
         self.listen: Callable[[Worker, int], object] | None = None  # over real sockets
 
     def gang(self, job: str, attempt: int) -> list[str]:
-        return [t for w in self.workers.values() for t, s in w.tasks.items()
-                if t.rpartition("/")[0] == job and s["attempt"] == attempt
-                and s["state"] in ("waiting", "running")]
+        return [
+            t
+            for w in self.workers.values()
+            for t, s in w.tasks.items()
+            if t.rpartition("/")[0] == job
+            and s["attempt"] == attempt
+            and s["state"] in ("waiting", "running")
+        ]
 
     def add(self, type_: str, zone: str, spot: bool = False) -> Worker:
         self.count += 1
@@ -508,11 +546,22 @@
             room = self.capacity - len(self.workers)
             if room <= 0:
                 return Response(503, b'{"error":"no capacity"}')
-            names = [self.add(body["press"], body["parcel"], body["gleaning"]).name
-                     for _ in range(min(room, body["howMany"]))]
+            names = [
+                self.add(body["press"], body["parcel"], body["gleaning"]).name
+                for _ in range(min(room, body["howMany"]))
+            ]
             self.answers[body["hire"]] = names
             return Response(200, json.dumps({"vats": names}).encode())
-        rows = [{"ref": w.name, "address": w.address, "press": w.type, "parcel": w.zone,
-                 "gleaning": w.spot, "stage": "running", "ageS": 60.0}
-                for w in self.workers.values()]
+        rows = [
+            {
+                "ref": w.name,
+                "address": w.address,
+                "press": w.type,
+                "parcel": w.zone,
+                "gleaning": w.spot,
+                "stage": "running",
+                "ageS": 60.0,
+            }
+            for w in self.workers.values()
+        ]
         return Response(200, json.dumps({"vats": rows, "truncated": False}).encode())
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -105,7 +105,8 @@
                 continue
             free = world.types[worker.type]["vcpus"] - sum(
                 self.rules.specs[t.rpartition("/")[0]]["vcpus"]
-                for t, held in worker.tasks.items() if held["state"] != "ended"
+                for t, held in worker.tasks.items()
+                if held["state"] != "ended"
             )
             rooms[worker.zone] = rooms.get(worker.zone, 0) + int((free + 1e-6) / spec["vcpus"])
         if spec["spread"]:
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -34,8 +34,16 @@
 NODES = ["n0", "n1", "n2"]
 TIMES = WorkerTimes(report_s=1.0, lease_s=10.0, gang_wait_s=12.0, gang_peer_s=3.0, cancel_s=25.0)
 TYPES: dict[str, dict[str, Any]] = {
-    "big": {"vcpus": 8.0, "memGb": 32.0, "cards": 0.0, "rate": 1.0, "spotPrice": 0.3,
-            "readyS": 3.0, "fetchGbPerS": 1.0, "parcels": ["a", "b"]},
+    "big": {
+        "vcpus": 8.0,
+        "memGb": 32.0,
+        "cards": 0.0,
+        "rate": 1.0,
+        "spotPrice": 0.3,
+        "readyS": 3.0,
+        "fetchGbPerS": 1.0,
+        "parcels": ["a", "b"],
+    },
 }
 
 
@@ -46,10 +54,13 @@
         peer_bind=f"10.0.0.{NODES.index(node)}:8081",
         endpoints=Endpoints(cloud="10.2.0.2:8443", state="10.2.0.1:2379"),
         zone="a",
-        members=[Member(name=n, address=f"10.0.0.{NODES.index(n)}:8081") for n in NODES
-                 if n != node],
+        members=[
+            Member(name=n, address=f"10.0.0.{NODES.index(n)}:8081") for n in NODES if n != node
+        ],
         deployment=Deployment(
-            count=3, workers=times, zones=["a", "b"],
+            count=3,
+            workers=times,
+            zones=["a", "b"],
             teams=[Team("free"), Team("tight", cpus=4.0, cpus_max=6.0)],
             state=StateLimits(rps=300, write_rps=100, value_kb=8, txn_ops=16),
             cloud=CloudLimits(rps=5, list_lag_s=2),
@@ -59,11 +70,28 @@
 
 def job(number: int, **more: Any) -> dict[str, Any]:
     return {
-        "ref": f"wk-{number:06d}", "vintage": "c", "crew": "free", "cut": "sweep",
-        "rank": "standard", "rows": 6, "vcpus": 2.0, "cards": 0.0, "memGb": 1.0, "cask": "i",
-        "pullGb": 0.1, "presses": None, "parcel": None, "oneZone": False, "spread": False,
-        "gleaning": True, "ripenS": 4.0, "rackS": 0.0, "bottleS": 0.0, "harvestS": None,
-        "realS": 4.0, **more,
+        "ref": f"wk-{number:06d}",
+        "vintage": "c",
+        "crew": "free",
+        "cut": "sweep",
+        "rank": "standard",
+        "rows": 6,
+        "vcpus": 2.0,
+        "cards": 0.0,
+        "memGb": 1.0,
+        "cask": "i",
+        "pullGb": 0.1,
+        "presses": None,
+        "parcel": None,
+        "oneZone": False,
+        "spread": False,
+        "gleaning": True,
+        "ripenS": 4.0,
+        "rackS": 0.0,
+        "bottleS": 0.0,
+        "harvestS": None,
+        "realS": 4.0,
+        **more,
     }
 
 
@@ -78,9 +106,16 @@
         self.network = Network(seed)
         self.state = State()
         nodes = [(n, (f"10.0.0.{i}", 8080)) for i, n in enumerate(NODES)]
-        self.world = World(self.network, nodes, TYPES, report_s=times.report_s,
-                           lease_s=times.lease_s, cancel_s=times.cancel_s,
-                           gang_wait_s=times.gang_wait_s, seed=seed)
+        self.world = World(
+            self.network,
+            nodes,
+            TYPES,
+            report_s=times.report_s,
+            lease_s=times.lease_s,
+            cancel_s=times.cancel_s,
+            gang_wait_s=times.gang_wait_s,
+            seed=seed,
+        )
         self.world.rules.limits = {"tight": 6.0}
         self.network.hosts[("10.2.0.1", 2379)] = ("state", self.state.handle)
         self.network.hosts[("10.2.0.2", 8443)] = ("cloud", self.world.handle)
@@ -117,7 +152,13 @@
         return await self.network.call((f"10.0.0.{node}", 8080), method, path, data, timeout=5.0)
 
     async def ask(
-        self, node: int, method: str, path: str, body: Any = None, *, about: str,
+        self,
+        node: int,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        about: str,
         repeat: bool = False,
     ) -> tuple[int, str]:
         """A user's request, its answer shown to the oracle: (status, stage)."""
@@ -129,9 +170,7 @@
         stage = ""
         if answer.status in (200, 201):
             stage = json.loads(answer.body)["stage"]
-        self.oracle.told(
-            asked, trio.current_time(), about, answer.status, stage, repeat=repeat
-        )
+        self.oracle.told(asked, trio.current_time(), about, answer.status, stage, repeat=repeat)
         return answer.status, stage
 
     async def submit(self, spec: dict[str, Any]) -> None:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -41,9 +41,7 @@
 
 
 @pytest.mark.parametrize(("failures", "found"), SICK)
-def test_sickness_of_a_machine(
-    failures: dict[str, tuple[int, Standing]], found: bool
-) -> None:
+def test_sickness_of_a_machine(failures: dict[str, tuple[int, Standing]], found: bool) -> None:
     counts = {id: n for id, (n, _) in failures.items()}
     assert sick(counts, {id: s for id, (_, s) in failures.items()}) is found
 
@@ -61,8 +59,11 @@
             await sim.submit(spec)
         await sim.finish([spec["ref"] for spec in good], limit=60)
         await trio.sleep(60)
-        assert not any(m.resting_until > 0 for c in sim.controllers.values()
-                       for m in c.workers.machines.values())
+        assert not any(
+            m.resting_until > 0
+            for c in sim.controllers.values()
+            for m in c.workers.machines.values()
+        )
         # Two machines a part find a job out, each with as many tasks as it holds at once.
         assert sim.world.rules.failures <= 3 * (6 * 8 + 3 * 8)
         before = sim.world.rules.failures
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,8 +41,15 @@
 
 def _report(number: int, seq: int, token: int, tasks: list[dict[str, Any]]) -> Request:
     body = {
-        "vat": f"i-{number:06d}", "address": "10.1.0.1:9000", "press": "big", "parcel": "a",
-        "gleaning": False, "shift": 1, "tally": seq, "seal": token, "recallS": None,
+        "vat": f"i-{number:06d}",
+        "address": "10.1.0.1:9000",
+        "press": "big",
+        "parcel": "a",
+        "gleaning": False,
+        "shift": 1,
+        "tally": seq,
+        "seal": token,
+        "recallS": None,
         "rows": tasks,
     }
     return Request("POST", "/v1/report", {}, json.dumps(body).encode())
@@ -156,8 +163,9 @@
     """With all places taken, a new caller gets in, and no worker loses its connection."""
 
     async def main() -> None:
-        server = Server(_echo, max_connections=6, idle=30, request_time=2,
-                        vital=frozenset({"/v1/report"}))
+        server = Server(
+            _echo, max_connections=6, idle=30, request_time=2, vital=frozenset({"/v1/report"})
+        )
         async with trio.open_nursery() as nursery:
             port = await _listening(nursery, server)
             workers = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(3)]
@@ -204,8 +212,9 @@
     """Another controller has ended, and all its workers are here in one moment."""
 
     async def main() -> None:
-        server = Server(_echo, max_connections=500, idle=30, request_time=2,
-                        vital=frozenset({"/v1/report"}))
+        server = Server(
+            _echo, max_connections=500, idle=30, request_time=2, vital=frozenset({"/v1/report"})
+        )
         answered = 0
 
         async def worker(port: int) -> None:
@@ -337,8 +346,11 @@
             sim.network.cut("n1", other)
         placed = {m.name: len(m.placements) for m in mine}
         await trio.sleep(TIMES.lease_s * 2)
-        new = next(sim.controllers[n].workers for n in ("n0", "n2")
-                   if part_of(mine[0].name, 3) in sim.controllers[n].workers.parts)
+        new = next(
+            sim.controllers[n].workers
+            for n in ("n0", "n2")
+            if part_of(mine[0].name, 3) in sim.controllers[n].workers.parts
+        )
         assert any(new.machines[name].placements for name in placed)
         for name, count in placed.items():
             if name in old.machines:
@@ -374,7 +386,10 @@
 
 UNHEARD = [
     # machines of 64 CPUs not heard since the takeover, tasks of 2 CPUs that may start
-    (0, 100), (1, 68), (3, 4), (4, 0),
+    (0, 100),
+    (1, 68),
+    (3, 4),
+    (4, 0),
 ]
 
 
@@ -491,6 +506,7 @@
     async def main() -> None:
         owner = _owner_of(1, 50)
         assert owner.members.token(1) == 50
+
         def told(number: int, tokens: list[tuple[int, int]]) -> None:
             beat = Heartbeat("n1", "x", number, 0, 0.0, 0.0, [], [], [], [], tokens)
             owner.members._take_beat(beat, None)
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -27,10 +27,12 @@
 from .sim import Sim, job, run, settings
 
 SITES = {
-    "brda": WorkerTimes(report_s=2.5, lease_s=15.25, gang_wait_s=40.0, gang_peer_s=6.0,
-                        cancel_s=40.25),
-    "wongsakul": WorkerTimes(report_s=3.0, lease_s=20.0, gang_wait_s=40.0, gang_peer_s=6.0,
-                             cancel_s=40.0),
+    "brda": WorkerTimes(
+        report_s=2.5, lease_s=15.25, gang_wait_s=40.0, gang_peer_s=6.0, cancel_s=40.25
+    ),
+    "wongsakul": WorkerTimes(
+        report_s=3.0, lease_s=20.0, gang_wait_s=40.0, gang_peer_s=6.0, cancel_s=40.0
+    ),
 }
 
 
@@ -49,15 +51,33 @@
 
 
 GAPS = [
-    Gap(1), Gap(2),
-    Gap(1, "refused"), Gap(2, "refused"), Gap(1, "held"), Gap(2, "held"),
-    Gap(1, ends="before"), Gap(2, ends="before"), Gap(1, ends="in"), Gap(2, ends="in"),
-    Gap(1, ends="gone"), Gap(1, "refused", "before"), Gap(1, "refused", "in"),
-    Gap(1, "held", "in"), Gap(2, "held", "before"), Gap(2, "refused", "gone"),
-    Gap(1, third=False), Gap(1, "refused", third=False), Gap(1, "refused", "before", False),
-    Gap(1, "held", "in", False), Gap(1, job="new"), Gap(2, "refused", job="new"),
-    Gap(1, "held", job="new"), Gap(1, "refused", "before", job="new"),
-    Gap(1, repeat=True), Gap(1, "refused", repeat=True), Gap(1, "held", "before", repeat=True),
+    Gap(1),
+    Gap(2),
+    Gap(1, "refused"),
+    Gap(2, "refused"),
+    Gap(1, "held"),
+    Gap(2, "held"),
+    Gap(1, ends="before"),
+    Gap(2, ends="before"),
+    Gap(1, ends="in"),
+    Gap(2, ends="in"),
+    Gap(1, ends="gone"),
+    Gap(1, "refused", "before"),
+    Gap(1, "refused", "in"),
+    Gap(1, "held", "in"),
+    Gap(2, "held", "before"),
+    Gap(2, "refused", "gone"),
+    Gap(1, third=False),
+    Gap(1, "refused", third=False),
+    Gap(1, "refused", "before", False),
+    Gap(1, "held", "in", False),
+    Gap(1, job="new"),
+    Gap(2, "refused", job="new"),
+    Gap(1, "held", job="new"),
+    Gap(1, "refused", "before", job="new"),
+    Gap(1, repeat=True),
+    Gap(1, "refused", repeat=True),
+    Gap(1, "held", "before", repeat=True),
 ]
 
 
@@ -159,9 +179,7 @@
 
 
 @pytest.mark.parametrize(("copy_at", "answers", "known", "owned"), KNOWN)
-def test_evidence(
-    copy_at: float, answers: list[Answer | None], known: float, owned: float
-) -> None:
+def test_evidence(copy_at: float, answers: list[Answer | None], known: float, owned: float) -> None:
     assert cancellations_known(copy_at, answers) == known
     assert owned_alone(copy_at, answers) == owned
 
@@ -181,8 +199,9 @@
 
 
 def _beat(incarnation: str, number: int, seen: int = 5) -> Heartbeat:
-    return Heartbeat("n1", incarnation, number, seen, 0.1, 0.1, [Cancellation("wk-1", 9, 1, 0)],
-                     [], [], [])
+    return Heartbeat(
+        "n1", incarnation, number, seen, 0.1, 0.1, [Cancellation("wk-1", 9, 1, 0)], [], [], []
+    )
 
 
 ORDERS: list[tuple[list[tuple[str, int, float | None]], str, list[bool]]] = [
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -80,18 +80,25 @@
         if machine is None:
             rows.append((node, None))
             continue
-        rows.append((
-            node, machine.session, machine.seq, machine.heard_at, machine.answered_at,
-            machine.lost, machine.confirmed, sorted(machine.placements), machine.unheeded,
-            name in controller.workers.released,
-        ))
+        rows.append(
+            (
+                node,
+                machine.session,
+                machine.seq,
+                machine.heard_at,
+                machine.answered_at,
+                machine.lost,
+                machine.confirmed,
+                sorted(machine.placements),
+                machine.unheeded,
+                name in controller.workers.released,
+            )
+        )
     return rows
 
 
 @pytest.mark.parametrize("between", ["nothing", "takeover", "restart", "session", "release"])
-def test_late_copy_of_a_report_moves_nothing(
-    between: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_late_copy_of_a_report_moves_nothing(between: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Copies were a sign of life, and at a new owner brought machines back."""
 
     async def day(sim: Sim) -> None:
@@ -127,9 +134,7 @@
         alive = [c for n, c in sim.controllers.items() if n not in sim.network.dead]
         before = _state(sim, worker.name)
         for controller in alive:
-            orders = (await controller.workers.serve(
-                Request("POST", "/v1/report", {}, body)
-            )).body
+            orders = (await controller.workers.serve(Request("POST", "/v1/report", {}, body))).body
             assert b"start" not in orders
         assert _state(sim, worker.name) == before
 
@@ -279,5 +284,3 @@
         sim.check()
 
     run(monkeypatch, day)
-
-
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -36,8 +36,12 @@
         (b"POST /fault HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", b"503"),
         (b"\x00\x01rubbish\r\n\r\n", b"400"),
         (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nhalf", b"408"),
-        (b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n"
-         + b"x" * 2000 + b"\r\n0\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n"
+            + b"x" * 2000
+            + b"\r\n0\r\n\r\n",
+            b"400",
+        ),
         (b"GET / HTTP/1.1\r\nX: " + b"y" * 40_000, b"431"),
         (b"", b""),
     ],
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -311,27 +311,44 @@
 
 
 MEETINGS: list[Meeting] = [
-    all_away_longer_than_a_lease, workers_mute, some_workers_mute,
-    cancelled_as_the_leader_is_refused, leader_ends_and_machines_cant_be_reached,
-    leader_ends_and_its_successor_isnt_heard, slow_state_then_refusal_then_outage,
-    over_and_back_and_one_returns, old_reports_after_newer_ones,
-    commands_held_and_the_machine_goes_on, reports_held_until_the_next_leader_acts,
-    team_at_its_limit_as_the_leader_changes, leader_cut_from_state_and_peers,
-    more_work_than_room_over_slow_links, ends_far_apart_over_changes_of_leader,
-    zone_cut_off_longer_than_a_lease, late_writes, zone_loses_its_machines,
-    ten_leaders_also_in_an_outage, late_writes_and_old_reports_and_a_takeover,
-    mute_workers_and_an_outage, hangs_as_jobs_are_cancelled_and_the_leader_ends,
-    deaf_and_refused, stand_and_old_reports,
+    all_away_longer_than_a_lease,
+    workers_mute,
+    some_workers_mute,
+    cancelled_as_the_leader_is_refused,
+    leader_ends_and_machines_cant_be_reached,
+    leader_ends_and_its_successor_isnt_heard,
+    slow_state_then_refusal_then_outage,
+    over_and_back_and_one_returns,
+    old_reports_after_newer_ones,
+    commands_held_and_the_machine_goes_on,
+    reports_held_until_the_next_leader_acts,
+    team_at_its_limit_as_the_leader_changes,
+    leader_cut_from_state_and_peers,
+    more_work_than_room_over_slow_links,
+    ends_far_apart_over_changes_of_leader,
+    zone_cut_off_longer_than_a_lease,
+    late_writes,
+    zone_loses_its_machines,
+    ten_leaders_also_in_an_outage,
+    late_writes_and_old_reports_and_a_takeover,
+    mute_workers_and_an_outage,
+    hangs_as_jobs_are_cancelled_and_the_leader_ends,
+    deaf_and_refused,
+    stand_and_old_reports,
 ]
 SEEDS = (1, 2)
 
 
 # What no controller may take, whatever else goes on: a field is missing, or it can never run.
 ODD: list[dict[str, Any]] = [
-    *({k: v for k, v in sent(job(888888)).items() if k != name}
-      for name in ("crew", "rows", "vcpus", "cask", "oneZone", "ripenS")),
-    sent(job(888888, vcpus=99.0)), sent(job(888888, crew="nobody")),
-    sent(job(888888, presses=["none"])), sent(job(888888, crew="tight", vcpus=7.0)),
+    *(
+        {k: v for k, v in sent(job(888888)).items() if k != name}
+        for name in ("crew", "rows", "vcpus", "cask", "oneZone", "ripenS")
+    ),
+    sent(job(888888, vcpus=99.0)),
+    sent(job(888888, crew="nobody")),
+    sent(job(888888, presses=["none"])),
+    sent(job(888888, crew="tight", vcpus=7.0)),
 ]
 
 
@@ -343,8 +360,7 @@
             node = luck.randrange(3)
             roll = luck.random()
             if roll < 0.1 and spec["ref"] in sim.oracle.accepted:
-                await sim.ask(node, "POST", "/api/jobs", sent(spec), about=spec["ref"],
-                              repeat=True)
+                await sim.ask(node, "POST", "/api/jobs", sent(spec), about=spec["ref"], repeat=True)
             elif roll < 0.15:
                 await sim.ask(node, "GET", "/api/jobs/wk-999999", about="wk-999999")
             elif roll < 0.2:
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -17,8 +17,9 @@
 
 
 def worker(name: str, zone: str = "a", *, spot: bool = False, type: str = "big") -> Any:
-    return SimpleNamespace(name=name, zone=zone, spot=spot, type=type, tasks={}, hung=False,
-                           sick=False, notice_at=None)
+    return SimpleNamespace(
+        name=name, zone=zone, spot=spot, type=type, tasks={}, hung=False, sick=False, notice_at=None
+    )
 
 
 def accepted(oracle: Oracle, **more: Any) -> str:
@@ -128,13 +129,23 @@
 
 
 BREAKS: list[tuple[Callable[[Oracle], Any], str]] = [
-    (ran_twice, "ran_twice"), (quota, "quota"), (wrong_zone, "wrong_place zone"),
-    (wrong_parcel, "wrong_place parcel"), (wrong_spread, "wrong_place spread"),
-    (wrong_type, "wrong_place type"), (wrong_kind, "wrong_place spot"),
-    (ran_cancelled, "ran_cancelled"), (started_cancelled, "ran_cancelled"),
-    (forgotten, "forgotten"), (forgotten_repeat, "forgotten"), (silent, "forgotten"),
-    (invented, "invented"), (not_done, "not_done"), (went_back, "went_back"),
-    (cancelled_by_nobody, "went_back"), (waits, "waits"),
+    (ran_twice, "ran_twice"),
+    (quota, "quota"),
+    (wrong_zone, "wrong_place zone"),
+    (wrong_parcel, "wrong_place parcel"),
+    (wrong_spread, "wrong_place spread"),
+    (wrong_type, "wrong_place type"),
+    (wrong_kind, "wrong_place spot"),
+    (ran_cancelled, "ran_cancelled"),
+    (started_cancelled, "ran_cancelled"),
+    (forgotten, "forgotten"),
+    (forgotten_repeat, "forgotten"),
+    (silent, "forgotten"),
+    (invented, "invented"),
+    (not_done, "not_done"),
+    (went_back, "went_back"),
+    (cancelled_by_nobody, "went_back"),
+    (waits, "waits"),
 ]
 
 
@@ -172,5 +183,3 @@
         oracle.check()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -86,8 +86,14 @@
 
 @pytest.mark.parametrize(
     ("tasks", "one_zone", "spread", "fits_"),
-    [(7, False, False, True), (8, False, False, False), (4, True, False, True),
-     (5, True, False, False), (6, False, True, True), (7, False, True, True)],
+    [
+        (7, False, False, True),
+        (8, False, False, False),
+        (4, True, False, True),
+        (5, True, False, False),
+        (6, False, True, True),
+        (7, False, True, True),
+    ],
 )
 def test_plan_rooms(tasks: int, one_zone: bool, spread: bool, fits_: bool) -> None:
     plan = plan_rooms(ROOMS, tasks, one_zone=one_zone, spread=spread)
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -56,9 +56,7 @@
 
 
 @pytest.mark.parametrize("leader", ["n0", "n1"])
-def test_takeover_returns_no_working_machine(
-    leader: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_takeover_returns_no_working_machine(leader: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """A leader that had just taken a part over took its machines for dead ones."""
 
     async def day(sim: Sim) -> None:
--- a/tests/test_stretch.py
+++ b/tests/test_stretch.py
@@ -34,8 +34,10 @@
 def random_queues(count: int) -> list[list[Entry]]:
     pick = random.Random(7)
     return [
-        [Entry(pick.uniform(-20, 0), pick.uniform(1, 50), pick.uniform(0.5, 10))
-         for _ in range(pick.randint(1, 5))]
+        [
+            Entry(pick.uniform(-20, 0), pick.uniform(1, 50), pick.uniform(0.5, 10))
+            for _ in range(pick.randint(1, 5))
+        ]
         for _ in range(count)
     ]
 
@@ -90,8 +92,13 @@
 
 @pytest.mark.parametrize(
     ("weights", "total", "out"),
-    [([1, 1], 3, [2, 1]), ([3, 1], 4, [3, 1]), ([0, 5], 2, [0, 2]), ([0, 0], 2, [0, 0]),
-     ([2, 1, 1], 1, [1, 0, 0])],
+    [
+        ([1, 1], 3, [2, 1]),
+        ([3, 1], 4, [3, 1]),
+        ([0, 5], 2, [0, 2]),
+        ([0, 0], 2, [0, 0]),
+        ([2, 1, 1], 1, [1, 0, 0]),
+    ],
 )
 def test_shares(weights: list[float], total: int, out: list[int]) -> None:
     assert stretch.shares(weights, total) == out
