--- a/pitchtally/http.py
+++ b/pitchtally/http.py
@@ -57,7 +57,7 @@
         self.status = status
 
 
-def _split(target: bytes) -> tuple[str, dict[str, str]]:
+def split_target(target: bytes) -> tuple[str, dict[str, str]]:
     path, _, rest = target.decode("latin-1").partition("?")
     query = {}
     for piece in rest.split("&") if rest else ():
@@ -365,7 +365,7 @@
                 break
             else:
                 raise h11.RemoteProtocolError("connection ended inside a request")
-        path, query = _split(head.target)
+        path, query = split_target(head.target)
         return Request(head.method.decode("latin-1"), path, query, bytes(body))
 
     async def _event(self, conn: h11.Connection, sock: socket.socket) -> object:
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -13,8 +13,9 @@
 
 from pitchtally.http import Client, Request, Response, Server
 
+from .cloud import World
+from .network import Network
 from .state import State
-from .world import Network, World
 
 TYPES: dict[str, dict[str, Any]] = {
     "small": {
--- a/standins/state.py
+++ b/standins/state.py
@@ -9,7 +9,7 @@
 
 from pitchtally.http import Request, Response
 
-from .world import CALLER
+from .network import CALLER
 
 
 def _answer(status: int, body: dict[str, Any]) -> Response:
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -1,14 +1,15 @@
 """What PROTOCOL's rules say of answers and of waiting, from the users' and the workers' side.
 
 Places, limits, zones and cancellations are watched at each start and ten times a second
-by `standins.world.Rules`; here is what users were told, and who waits beside free room.
+by `standins.rules.Rules`; here is what users were told, and who waits beside free room.
 """
 
 from __future__ import annotations
 
 from typing import Any
 
-from standins.world import Rules, World
+from standins.cloud import World
+from standins.rules import Rules
 
 FINAL = ("done", "withdrawn")
 
@@ -103,11 +104,7 @@
                 continue
             if spec["oneZone"] and zones and worker.zone not in zones:
                 continue
-            free = world.types[worker.type]["vcpus"] - sum(
-                self.rules.specs[t.rpartition("/")[0]]["vcpus"]
-                for t, held in worker.tasks.items()
-                if held["state"] != "ended"
-            )
+            free = worker.free_cpus()
             rooms[worker.zone] = rooms.get(worker.zone, 0) + int((free + 1e-6) / spec["vcpus"])
         if spec["spread"]:
             cap = (spec["rows"] + 1) // 2
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -26,13 +26,16 @@
     Team,
     WorkerTimes,
 )
+from standins.cloud import World
+from standins.network import HERE, Network
 from standins.state import State
-from standins.world import HERE, Network, World
 
 from .oracle import Oracle
 
 NODES = ["n0", "n1", "n2"]
 TIMES = WorkerTimes(report_s=1.0, lease_s=10.0, gang_wait_s=12.0, gang_peer_s=3.0, cancel_s=25.0)
+CLOSE_LOOKS = 3  # at each node, after each change that a user sees
+CLOSE_LOOK_PAUSE = 0.004
 TYPES: dict[str, dict[str, Any]] = {
     "big": {
         "vcpus": 8.0,
@@ -124,6 +127,8 @@
         self.nursery: trio.Nursery
         self.oracle = Oracle(self.world.rules)
         self.final = self.oracle.final
+        self.looks_closely = False  # users ask everywhere at once after each change they see
+        self.looked_at: set[tuple[str, str]] = set()
 
     async def _node(self, name: str) -> None:
         HERE.set(name)
@@ -171,8 +176,33 @@
         if answer.status in (200, 201):
             stage = json.loads(answer.body)["stage"]
         self.oracle.told(asked, trio.current_time(), about, answer.status, stage, repeat=repeat)
+        if self.looks_closely and stage:
+            self._look_closely(about, stage)
         return answer.status, stage
 
+    def _look_closely(self, id: str, stage: str) -> None:
+        """Users ask at all nodes, again and again, and repeat the submission.
+
+        Within milliseconds after each stage is first told; none may answer older.
+        """
+        if (id, stage) in self.looked_at:
+            return
+        self.looked_at.add((id, stage))
+        spec = self.world.rules.specs[id]
+        for turn in range(CLOSE_LOOKS):
+            for node in range(len(NODES)):
+                self.nursery.start_soon(self._look_after, turn * CLOSE_LOOK_PAUSE, id, node)
+        for node in range(len(NODES)):
+            self.nursery.start_soon(self._repeat_at, node, spec)
+
+    async def _look_after(self, seconds: float, id: str, node: int) -> None:
+        await trio.sleep(seconds)
+        await self.poll(id, node)
+
+    async def _repeat_at(self, node: int, spec: dict[str, Any]) -> None:
+        about = spec["ref"]
+        await self.ask(node, "POST", "/api/jobs", sent(spec), about=about, repeat=True)
+
     async def submit(self, spec: dict[str, Any]) -> None:
         """As users do: again and again, at any node, until it is taken."""
         self.world.rules.specs[spec["ref"]] = spec
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,7 +19,7 @@
 from pitchtally.control.service import Controller
 from pitchtally.http import Client, Request, Response, Server
 from pitchtally.settings import Team
-from standins.world import HERE
+from standins.network import HERE
 
 from .sim import TIMES, Sim, job, run, settings
 
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -10,7 +10,7 @@
 import trio
 import trio.testing
 
-from standins.world import Rules
+from standins.rules import Rules
 
 from .oracle import Oracle
 from .sim import TYPES, job
@@ -18,7 +18,15 @@
 
 def worker(name: str, zone: str = "a", *, spot: bool = False, type: str = "big") -> Any:
     return SimpleNamespace(
-        name=name, zone=zone, spot=spot, type=type, tasks={}, hung=False, sick=False, notice_at=None
+        name=name,
+        zone=zone,
+        spot=spot,
+        type=type,
+        tasks={},
+        hung=False,
+        sick=False,
+        notice_at=None,
+        free_cpus=lambda: 8.0,
     )
 
 
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -141,7 +141,7 @@
         worker = next(w for w in sim.world.workers.values() if w.tasks)
         worker.notice_at = trio.current_time() + 8
         await trio.sleep(7)
-        assert worker.gone or not [t for t, s in worker.tasks.items() if s["state"] == "running"]
+        assert worker.gone or not [t for t, s in worker.tasks.items() if s.state == "running"]
         if not worker.gone:
             worker.vanish()
         await sim.finish(["wk-000001"], limit=60)
