Starts need evidence of a session; dead and silent machines hold up less after a takeover

Now every node observes silent machines all the time, and a job goes on as soon as no machine still unheard may hold a task of it. By reading: an owner cut off with its workers began tasks of a cancelled job for as long as 'blind', though users are told that none begins any more; starts now need evidence no older than a session, as calls to the cloud do.

--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -9,6 +9,7 @@
 
 import logging
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import NamedTuple
 
 import msgspec
@@ -31,6 +32,8 @@
 encode = msgspec.json.encode
 
 
+# Flags of machines that can't be reached, or don't hear what they are told.
+SILENT_FLAGS = frozenset({"lost", "unheard", "deaf"})
 # The protocol's most machines in one hire.
 HIRE_MOST = 50
 
@@ -57,6 +60,14 @@
         self.since = since
 
 
+@dataclass(slots=True)
+class Silence:
+    """A machine that no node can reach, as its part's owner tells."""
+
+    since: float
+    seen_at: float  # when that was last confirmed
+
+
 class Cloud:
     """The cloud's interface, under a bucket for all nodes together."""
 
@@ -116,7 +127,7 @@
         self.led_since: float | None = None
         self.led_token = 0
         self.unseen: dict[str, float] = {}  # listed as running, but in nobody's notes
-        self.lost_since: dict[str, float] = {}
+        self.silences: dict[str, Silence] = {}
         self.demand: dict[tuple[object, ...], list[tuple[float, int]]] = {}
         self.demand_at = -1e9
         self.lists = 0
@@ -209,7 +220,6 @@
                 self.led_token = token
                 self.lists = 0
                 self.unseen.clear()
-                self.lost_since.clear()
                 self.booting.clear()
                 self.listed.clear()
                 self.pending = None
@@ -260,6 +270,7 @@
                 del self.absent_since[name]
 
     _listed_at = -1e9
+    _observed_at = -1e9
 
     def notes(self) -> dict[str, MachineNote]:
         return {m.name: m for note in self.split.notes.newest.values() for m in note.machines}
@@ -307,10 +318,9 @@
                 # it is dead the list soon says so. Returned at once, dozens that were about
                 # to go on would have to boot anew.
                 limit = self.policy.silence / (1 if note.flag == "lost" else 2)
-                if now - self.lost_since.setdefault(name, now) > limit:
+                silence = self.silences.get(name)
+                if silence is not None and now - silence.since > limit:
                     self._return(name, "silent")
-            else:
-                self.lost_since.pop(name, None)
             if note.flag == "notice" and note.tasks == 0:
                 self._return(name, "taken back")
             if note.flag == "sick" and note.tasks == 0:
@@ -327,6 +337,38 @@
                 del self.drain[name]
                 self._return(name, "idle")
 
+    async def run_silences(self) -> None:
+        """Observe silent machines on every node, whether it leads or not.
+
+        A new leader would otherwise begin to count anew, and the part that waits for a dead
+        machine with it, though all nodes have known of it for long.
+        """
+        while True:
+            await trio.sleep(self.policy.beat)
+            self._observe_silences()
+
+    def _observe_silences(self) -> None:
+        now = trio.current_time()
+        if self.members.stood_at() > self._observed_at:
+            self.silences.clear()  # nobody was listening
+        self._observed_at = now
+        for name, note in self.notes().items():
+            if note.flag not in SILENT_FLAGS:
+                self.silences.pop(name, None)
+            elif self._is_fresh(note.name, now):
+                self.silences.setdefault(name, Silence(now, now)).seen_at = now
+        # What nobody has confirmed for long may have ended unseen.
+        gap = self.settings.deployment.workers.lease_s / 2
+        for name in [n for n, s in self.silences.items() if now - s.seen_at > gap]:
+            del self.silences[name]
+
+    def _is_fresh(self, machine: str, now: float) -> bool:
+        """Whether the status of the machine's part is our own or was heard of late."""
+        part = part_of(machine, self.settings.deployment.count)
+        if part in self.split.parts.work:
+            return True
+        return now - self.split.notes.noted_at.get(part, -1e9) < self.policy.session_ttl
+
     def _vouched(self, name: str) -> bool:
         """Whether the owner of the machine's part knows all its machines by now."""
         note = self.split.notes.newest.get(part_of(name, self.settings.deployment.count))
--- a/pitchtally/control/machines.py
+++ b/pitchtally/control/machines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import trio
 
 from .. import wire
@@ -208,8 +210,24 @@
         self.gained_at = trio.current_time()
         self.loaded = False  # our copy includes everything up to the takeover
         self.suspects: set[str] = set()  # recorded machines not yet heard since
+        self.suspect_groups: Counter[Group] = Counter()
         self.settled = False
 
+    def suspect(self, machine: Machine) -> None:
+        """A recorded machine that may hold tasks of an earlier owner."""
+        if machine.name not in self.suspects:
+            self.suspects.add(machine.name)
+            self.suspect_groups[machine.group] += 1
+
+    def clear_suspect(self, machine: Machine) -> bool:
+        """The machine is heard or gone; True if it was the last one of its group."""
+        self.suspects.discard(machine.name)
+        self.suspect_groups[machine.group] -= 1
+        if self.suspect_groups[machine.group]:
+            return False
+        del self.suspect_groups[machine.group]
+        return True
+
     def attempt(self) -> int:
         """Tokens are unique over all parts and rise, so attempts do too."""
         self.counter += 1
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -318,6 +318,16 @@
             self.stood_at()
             self._tick_at = trio.current_time()
 
+    def may_start(self) -> bool:
+        """Whether what is known of cancellations is recent enough to start tasks on.
+
+        Renewing a lease on older evidence is safe until `blind`, since a task that was
+        cancelled meanwhile still ends in time. A start is not: users are told that no task
+        of a cancelled job begins any more. After a session without any evidence a part has,
+        or soon will have, another owner, and a start here would be wasted anyway.
+        """
+        return trio.current_time() - self.sure_at() <= self.policy.session_ttl
+
     def blind(self) -> bool:
         return trio.current_time() - self.sure_at() > self.policy.blind
 
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 import trio
@@ -11,10 +12,11 @@
 from .blame import Standing, sick, standing
 from .holdings import Holding, PartWork
 from .jobs import DONE, Job, Record
-from .machines import Machine, Placement
+from .machines import Group, Machine, Placement
 from .rooms import (
     allowed,
     fits,
+    group_ok,
 )
 from .slice import Slice
 
@@ -47,6 +49,43 @@
             if any(p == part for _, _, p in job.record.ranges):
                 work.blocked.add(job.id)
 
+    def unblock(self, part: int, unheard: Collection[Group]) -> None:
+        """Jobs of which no machine still unheard can hold a task go on at once.
+
+        A job's tasks are only ever on machines that it allows, so one silent machine need
+        not hold up jobs that could never have run there.
+        """
+        work = self.work[part]
+        for id in sorted(work.blocked):
+            job = self.book.jobs[id]
+            if any(self._may_be_on(job, group) for group in unheard):
+                continue
+            work.blocked.discard(id)
+            self.hold(job, part)
+            self._attach_early(work, id)
+            log.debug("job unblocked part=%d job=%s", part, id)
+        self.split.wake.set()
+
+    def _may_be_on(self, job: Job, group: Group) -> bool:
+        """Whether a task of the job may be on machines of a group that an earlier owner used."""
+        type_, zone, spot = group
+        kind = self.types().get(type_)
+        spec = job.spec
+        if kind is None:
+            return True
+        if spec.one_zone and spec.tasks > 1 and job.record.zone not in (None, zone):
+            return False
+        return group_ok(spec, kind, zone, spot)
+
+    def _attach_early(self, work: PartWork, id: str) -> None:
+        """Tasks of a job that were seen on machines before it was known whether all are."""
+        early = [placement for placement in work.early if placement.job.id == id]
+        work.early = [placement for placement in work.early if placement.job.id != id]
+        for placement in early:
+            # Those that ended meanwhile were given back in `gone`.
+            if placement.machine.placements.get(placement.key) is placement:
+                self._attach(placement)
+
     def settled(self, part: int) -> None:
         """Every machine that may hold a task is heard or gone: the rest is nowhere."""
         work = self.work[part]
@@ -54,11 +93,8 @@
         work.blocked.clear()
         for job in list(self.book.open.values()):
             self.hold(job, part)
-        for placement in work.early:
-            # Those that ended meanwhile were given back in `gone`.
-            if placement.machine.placements.get(placement.key) is placement:
-                self._attach(placement)
-        work.early.clear()
+        for id in sorted({placement.job.id for placement in work.early}):
+            self._attach_early(work, id)
         self.split.wake.set()
 
     def on_job(self, job: Job, old: Record | None) -> None:
@@ -111,7 +147,7 @@
         work = self.work.get(placement.machine.part)
         if work is None:
             return False
-        if not work.settled:
+        if placement.job.id in work.blocked or not work.loaded:
             work.early.append(placement)
             return True
         return self._attach(placement)
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -89,6 +89,7 @@
         workers.on_lost_part = split.parts.lost
         workers.on_loaded = split.parts.loaded
         workers.on_settled = split.parts.settled
+        workers.on_group_heard = split.parts.unblock
         workers.on_gone = split.parts.gone
         workers.on_done = split.parts.done
         workers.adopt = split.parts.adopt
@@ -138,6 +139,7 @@
             self.split.run_splitting,
             self.fleet.run,
             self.fleet.run_types,
+            self.fleet.run_silences,
             self.api.certifier.run,
             self._own_drain,
             *[self.api.acceptances.run] * Acceptances.LOOPS,
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -69,6 +69,7 @@
         self.on_done: Callable[[Placement, float], None] = lambda placement, ran: None
         self.on_loaded: Callable[[int], None] = lambda part: None
         self.on_settled: Callable[[int], None] = lambda part: None
+        self.on_group_heard: Callable[[int, Collection[Group]], None] = lambda part, unheard: None
         self.on_lost_part: Callable[[int], None] = lambda part: None
         self.adopt: Callable[[Placement], bool] = lambda placement: True
 
@@ -180,11 +181,22 @@
                 machine.heard_at = machine.answered_at = hold.gained_at
             machine.recorded = True
             if not machine.confirmed:
-                hold.suspects.add(name)
+                hold.suspect(machine)
         self.on_loaded(hold.part)
+        if hold.suspects:
+            self.on_group_heard(hold.part, hold.suspect_groups.keys())
         log.info("part loaded part=%d machines=%d", hold.part, len(hold.suspects))
         self._settle(hold)
 
+    def _clear_suspect(self, hold: PartHold, machine: Machine) -> None:
+        """A recorded machine is heard, or gone: it holds nothing that we don't know of."""
+        if machine.name not in hold.suspects:
+            return
+        group_heard = hold.clear_suspect(machine)
+        if group_heard and hold.loaded and hold.suspects:
+            self.on_group_heard(hold.part, hold.suspect_groups.keys())
+        self._settle(hold)
+
     def _settle(self, hold: PartHold) -> None:
         if hold.settled or not hold.loaded or hold.suspects:
             return
@@ -313,9 +325,7 @@
             machine.confirmed = True
             # Until it saw our token, an earlier owner may have renewed its lease.
             machine.idle_since = machine.answered_at = now
-        if machine.confirmed and machine.name in hold.suspects:
-            hold.suspects.discard(machine.name)
-            self._settle(hold)
+        self._clear_suspect(hold, machine)
         if not machine.recorded:
             self.records.wake.set()
         if machine.placements:
@@ -482,7 +492,7 @@
         now = trio.current_time()
         orders = self.kills(machine)
         starts = []
-        if machine.usable:
+        if machine.usable and self.members.may_start():
             for placement in self.fill(machine):
                 placement.sent_seq = report.seq
                 placement.at = now
@@ -567,9 +577,8 @@
         hold = self.parts.get(machine.part)
         self._clear(machine, "released")
         self._pop(name)
-        if hold is not None and name in hold.suspects:
-            hold.suspects.discard(name)
-            self._settle(hold)
+        if hold is not None:
+            self._clear_suspect(hold, machine)
         self.records.wake.set()
 
     # --- views --------------------------------------------------------------------------
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -29,7 +29,7 @@
         self.limits: dict[str, float] = {}  # team -> CPUs
         self.broken: list[str] = []
         self.started = 0
-        self.starts_after_cancellation = 0
+        self.late_starts: list[float] = []  # seconds from a cancellation to a start after it
         self.first: dict[str, float] = {}  # job -> when its first task started
         self.most: dict[str, float] = {}  # team -> most CPUs in use at once
         self.failures = 0  # tasks that ended with an error
@@ -43,7 +43,7 @@
         if task in self.places:
             self.broken.append(f"ran_twice {task}")
         if job in self.cancelled:
-            self.starts_after_cancellation += 1
+            self.late_starts.append(trio.current_time() - self.cancelled[job])
         self._check_place(worker, task)
         self.places[task] = (worker.name, worker.zone)
         self._check_limit(self.specs[job]["crew"])
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -50,7 +50,10 @@
 }
 
 
-def settings(node: str, times: WorkerTimes = TIMES) -> Settings:
+TEAMS = [Team("free"), Team("tight", cpus=4.0, cpus_max=6.0)]
+
+
+def settings(node: str, times: WorkerTimes = TIMES, teams: list[Team] | None = None) -> Settings:
     return Settings(
         name=node,
         public_addr=f"10.0.0.{NODES.index(node)}:8080",
@@ -64,7 +67,7 @@
             count=3,
             workers=times,
             zones=["a", "b"],
-            teams=[Team("free"), Team("tight", cpus=4.0, cpus_max=6.0)],
+            teams=TEAMS if teams is None else teams,
             state=StateLimits(rps=300, write_rps=100, value_kb=8, txn_ops=16),
             cloud=CloudLimits(rps=5, list_lag_s=2),
         ),
@@ -104,8 +107,9 @@
 
 
 class Sim:
-    def __init__(self, seed: int, times: WorkerTimes = TIMES):
+    def __init__(self, seed: int, times: WorkerTimes = TIMES, teams: list[Team] | None = None):
         self.times = times
+        self.teams = TEAMS if teams is None else teams
         self.network = Network(seed)
         self.state = State()
         nodes = [(n, (f"10.0.0.{i}", 8080)) for i, n in enumerate(NODES)]
@@ -119,7 +123,7 @@
             gang_wait_s=times.gang_wait_s,
             seed=seed,
         )
-        self.world.rules.limits = {"tight": 6.0}
+        self.world.rules.limits = {team.name: team.cpus_max for team in self.teams}
         self.network.hosts[("10.2.0.1", 2379)] = ("state", self.state.handle)
         self.network.hosts[("10.2.0.2", 8443)] = ("cloud", self.world.handle)
         self.scopes: dict[str, trio.CancelScope] = {}
@@ -134,7 +138,7 @@
         HERE.set(name)
         with trio.CancelScope() as scope:
             self.scopes[name] = scope
-            config = settings(name, self.times)
+            config = settings(name, self.times, self.teams)
             controller = Controller(config, policy.parse("", config))
             self.controllers[name] = controller
             await controller.run()
@@ -260,10 +264,14 @@
 
 
 def run(
-    monkeypatch: pytest.MonkeyPatch, body: Any, seed: int = 1, times: WorkerTimes = TIMES
+    monkeypatch: pytest.MonkeyPatch,
+    body: Any,
+    seed: int = 1,
+    times: WorkerTimes = TIMES,
+    teams: list[Team] | None = None,
 ) -> Sim:
     """Run a scenario: `await body(sim)` with everything up."""
-    sim = Sim(seed, times)
+    sim = Sim(seed, times, teams)
 
     async def main() -> None:
         sim.network.install(monkeypatch)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -128,3 +128,42 @@
         assert sim.final[spec["ref"]] == "done"
 
     run(monkeypatch, day)
+
+
+# --- a stream of small jobs -------------------------------------------------------------------
+
+STREAM_RATE = 4  # jobs a second
+STREAM_SECONDS = 120
+
+
+def test_one_task_jobs_four_a_second_a_quarter_cancelled(monkeypatch: pytest.MonkeyPatch) -> None:
+    """For minutes on end, beside a controller that ends; each is known and ends as it should."""
+
+    async def one(sim: Sim, number: int, luck: random.Random) -> None:
+        spec = job(number, rows=1, vcpus=1.0, realS=3.0, ripenS=3.0)
+        await sim.submit(spec)
+        if number % 4 == 0:
+            await trio.sleep(luck.choice([0.0, 0.5, 2.0, 3.0, 4.0]))
+            await sim.cancel(spec["ref"], number)
+
+    async def day(sim: Sim) -> None:
+        sim.world.capacity = 12
+        luck = random.Random(5)
+        count = STREAM_RATE * STREAM_SECONDS
+        for number in range(1, count + 1):
+            sim.nursery.start_soon(one, sim, number, luck)
+            await trio.sleep(1 / STREAM_RATE)
+            if number == count // 2:
+                sim.kill("n1")
+            elif number == count // 2 + STREAM_RATE * 6:
+                sim.start("n1")
+        await trio.sleep(5)
+        ids = [f"wk-{number:06d}" for number in range(1, count + 1)]
+        await sim.finish(ids, limit=60)
+        withdrawn = [id for id in ids if sim.final[id] == "withdrawn"]
+        assert set(withdrawn) <= sim.oracle.asked_cancel
+        assert len(withdrawn) >= count // 16
+        await trio.sleep(TIMES.cancel_s + 1)
+        sim.check()
+
+    run(monkeypatch, day)
