--- a/.ci/start.py
+++ b/.ci/start.py
@@ -35,6 +35,7 @@
 
 
 def ask(path: str, body: object = None) -> tuple[int, dict[str, object]]:
+    """One request to the first controller: its status and JSON body; 0 without an answer."""
     data = None if body is None else json.dumps(body).encode()
     try:
         with urllib.request.urlopen(NODE + path, data, timeout=5) as answer:
@@ -46,6 +47,7 @@
 
 
 def wait(what: str, check: object, limit: float = 60.0) -> None:
+    """Wait until a check holds, or end the run with what was missing."""
     end = time.monotonic() + limit
     while time.monotonic() < end:
         if check():  # type: ignore[operator]
@@ -56,6 +58,7 @@
 
 
 def main() -> None:
+    """Start stand-ins and controllers, run one job, and end them all."""
     run = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())["run"].split()
     env = {**os.environ, "LOG_LEVEL": "error"}
     world = subprocess.Popen([sys.executable, "-m", "standins", str(FOLDER)], cwd=ROOT)
--- a/build.py
+++ b/build.py
@@ -12,6 +12,7 @@
 
 
 def main() -> int:
+    """Compile the sources and the built dependencies."""
     sys.pycache_prefix = str(ROOT / "target" / "pycache")
     good = True
     for folder in ("pitchtally", "target/deps"):
--- a/pitchtally/cli.py
+++ b/pitchtally/cli.py
@@ -21,9 +21,12 @@
 
 
 class Logfmt(logging.Formatter):
+    """One log record as one line of logfmt."""
+
     def format(self, record: logging.LogRecord) -> str:
+        """The record as a line: level, component, message, and a trace if there is one."""
         text = record.getMessage().replace("\n", " ")
-        line = f"level={record.levelname.lower()} slice={record.name} msg={text!r}"
+        line = f"level={record.levelname.lower()} component={record.name} msg={text!r}"
         if record.exc_info:
             trace = self.formatException(record.exc_info).replace("\n", " | ")
             line += f" trace={trace!r}"
@@ -31,6 +34,7 @@
 
 
 def set_up_logging() -> None:
+    """Log to standard error at the level that `LOG_LEVEL` names."""
     levels = {
         "error": logging.ERROR,
         "info": logging.INFO,
@@ -46,6 +50,7 @@
 
 
 def read(config: str, policy: str | None) -> tuple[Settings, Policy]:
+    """Settings and policy as `serve` uses them."""
     from . import policy as policies
 
     settings = load(config)
@@ -54,6 +59,7 @@
 
 
 def serve(config: str, policy: str | None = None) -> int:
+    """Run a controller until it is ended; the exit code."""
     set_up_logging()
     try:
         settings, figures = read(config, policy)
@@ -80,6 +86,7 @@
 
 
 def entry(argv: Sequence[str]) -> None:
+    """The command line, with a short way for the platform's own call."""
     # The platform appends the settings file: no need to load the rest of the CLI.
     if len(argv) == 2 and argv[0] == "--config":
         sys.exit(serve(argv[1]))
--- a/pitchtally/control/rooms.py
+++ b/pitchtally/control/capacity.py
@@ -2,20 +2,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from .. import wire
-from .machines import Need, Placement, need_of
-
-if TYPE_CHECKING:
-    pass
-
 from .jobs import Job
+from .machines import Need, Placement, need_of
 
 RANK = {rank: i for i, rank in enumerate(wire.RANKS)}
 
 
 def fits(need: Need, room: Need) -> bool:
+    """Whether a task of this need fits into what is free."""
     # Written out: asked some ten thousand times a second.
     return need[0] <= room[0] + 1e-6 and need[1] <= room[1] + 1e-6 and need[2] <= room[2] + 1e-6
 
@@ -35,10 +32,12 @@
 
 
 def is_gang(placement: Placement) -> bool:
+    """Whether the placement belongs to a gang."""
     return placement.spec.kind == wire.GANG
 
 
 def covered(job: Job) -> bool:
+    """Whether every task of the job is assigned to a part."""
     return sum(b - a for a, b, _ in job.record.ranges) >= job.record.tasks
 
 
@@ -52,6 +51,7 @@
 
 
 def group_ok(spec: wire.JobSpec, kind: wire.MachineType, zone: str, spot: bool) -> bool:
+    """Whether a job allows machines of this type, zone and kind, and fits on one."""
     if spec.types is not None and kind.name not in spec.types:
         return False
     if spec.zone is not None and spec.zone != zone:
@@ -62,6 +62,7 @@
 
 
 def allowed(job: Job, type_: str, zone: str, spot: bool) -> bool:
+    """Whether a job allows machines of this type, zone and kind."""
     spec = job.spec
     if spec.types is not None and type_ not in spec.types:
         return False
@@ -87,7 +88,7 @@
 FREE, YIELDING, OVER, KEPT = range(4)
 
 
-def plan_rooms(
+def plan_gang(
     rooms: dict[tuple[int, str], int], tasks: int, *, one_zone: bool, spread: bool
 ) -> dict[tuple[int, str], int] | None:
     """Share a gang out over (part, zone) rooms, widest first; None if it doesn't fit."""
--- a/pitchtally/control/slice.py
+++ b/pitchtally/control/component.py
@@ -8,7 +8,7 @@
     from .split import Split
 
 
-class Slice:
+class SchedulerComponent:
     """One duty of the scheduler, with its own state; it reaches the others by `split`."""
 
     def __init__(self, split: Split) -> None:
@@ -16,7 +16,7 @@
         self.settings = split.settings
         self.policy = split.policy
         self.members = split.members
-        self.book = split.book
+        self.job_store = split.job_store
         self.workers = split.workers
         self.types = split.types
         self.count = split.count
--- a/pitchtally/control/reach.py
+++ b/pitchtally/control/direct_commands.py
@@ -26,7 +26,9 @@
 _report = msgspec.json.Decoder(wire.Report)
 
 
-class Reach:
+class DirectCommands:
+    """Sends direct commands to the machines of the parts that this node owns."""
+
     def __init__(self, workers: Workers) -> None:
         self.workers = workers
         self.times = workers.times
@@ -42,6 +44,7 @@
         self.heard_at = trio.current_time()  # when any machine was heard
 
     def touch(self, name: str) -> None:
+        """Have a machine told soon what it must stop."""
         self.touched.add(name)
         self.wake.set()
 
@@ -64,7 +67,7 @@
                             nursery.start_soon(self._tell, machine, hold, probes)
                 for machine in list(self.workers.machines.values()):
                     held = self.workers.parts.get(machine.part)
-                    if machine.deaf and held is not None and probes.available_tokens:
+                    if machine.unresponsive and held is not None and probes.available_tokens:
                         nursery.start_soon(self._tell, machine, held, probes)
                 for name in list(self.touched):
                     self.touched.discard(name)
@@ -101,10 +104,10 @@
                     return
                 self.workers.observe(report, hold, direct=True)
                 if response.status == 200:
-                    machine.unheeded = 0  # commands reach it after all
+                    machine.unacknowledged = 0  # commands reach it after all
                     return
 
-    async def run_deaf(self) -> None:
+    async def run_reachability(self) -> None:
         """Tell a node that its machines can't reach from machines that are gone."""
         while True:
             await trio.sleep(self.times.report_s)
@@ -114,7 +117,9 @@
                 for m in self.workers.machines.values()
                 if m.address and m.name not in self.workers.released
             ]
-            if not self.members.deaf and (not mine or now - self.heard_at < self.times.lease_s / 4):
+            if not self.members.workers_unreachable and (
+                not mine or now - self.heard_at < self.times.lease_s / 4
+            ):
                 continue
             # Machines of other parts count too: where ours are gone but others
             # answer, handing our part on would help nobody.
@@ -141,4 +146,4 @@
                     break
             if heard:
                 self.heard_at = trio.current_time()
-            self.members.set_deaf(bool(mine) and not heard)
+            self.members.set_workers_unreachable(bool(mine) and not heard)
--- a/pitchtally/control/estimates.py
+++ b/pitchtally/control/estimates.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 
 from .. import wire
 
-if TYPE_CHECKING:
-    pass
-
 
 class Estimates:
     """Estimates are wrong per class: a running mean of how wrong, from finished runs."""
@@ -18,6 +14,7 @@
         self.logs: dict[str, tuple[float, float]] = {}  # class -> (weight, mean of log ratio)
 
     def learn(self, spec: wire.JobSpec, ran: float) -> None:
+        """Take in how long a task of the job really ran."""
         if ran <= 0 or spec.estimate <= 0:
             return
         weight, mean = self.logs.get(spec.job_class, (0.0, 0.0))
--- a/pitchtally/control/evidence.py
+++ b/pitchtally/control/evidence.py
@@ -8,9 +8,10 @@
 The deadlines of a cancellation are worked out here too, and nowhere else. Confirmed at
 c, the job's tasks must be gone by c + `cancel_s`. An owner that has not heard of it can
 have been sure of all cancellations up to c at the latest, so it renews leases until
-c + `blind` at most; and a worker counts its lease from when it *sent* the report, which
-was no later. So every task is gone by c + `blind` + `lease_s`, plus drift and the
-worker's own timer: `blind_most` is the largest `blind` that keeps this within `cancel_s`.
+c + `max_evidence_age` at most; and a worker counts its lease from when it *sent* the report, which
+was no later. So every task is gone by c + `max_evidence_age` + `lease_s`, plus drift and the
+worker's own timer: `longest_evidence_age` is the largest `max_evidence_age` that keeps this
+within `cancel_s`.
 
 An owner that has heard of it needs no deadline of its own: every answer that renews a
 lease carries a kill for each listed task whose job is over (`Workers.serve`). A worker
@@ -40,10 +41,11 @@
 
     @property
     def has_read(self) -> bool:
+        """Whether the peer has read the store since it began."""
         return self.store_age < NEVER
 
     @property
-    def sure_at(self) -> float:
+    def cancellations_known_at(self) -> float:
         """Up to when the peer knew every cancellation, at the least."""
         return self.asked_at - self.sure_age
 
@@ -69,7 +71,9 @@
     answers together: each holds what it confirmed itself, and nobody else confirms.
     """
     found = list(answers)
-    known = max([copy_at, *(a.sure_at for a in found if a is not None and a.has_read)])
+    known = max(
+        [copy_at, *(a.cancellations_known_at for a in found if a is not None and a.has_read)]
+    )
     asked = all_asked_at(found)
     return known if asked is None else max(known, asked)
 
@@ -94,6 +98,6 @@
     return answered_at + times.lease_s * DRIFT + timer(times)
 
 
-def blind_most(times: WorkerTimes) -> float:
+def longest_evidence_age(times: WorkerTimes) -> float:
     """The longest that an owner may renew leases without news of cancellations."""
     return (times.cancel_s - timer(times)) / DRIFT - times.lease_s * DRIFT
--- a/pitchtally/control/blame.py
+++ b/pitchtally/control/failure_attribution.py
@@ -21,6 +21,8 @@
 
 
 class Standing(Enum):
+    """What a job's failures so far say of it."""
+
     GOOD = "good"
     UNKNOWN = "unknown"
     FAULTY = "faulty"
@@ -40,7 +42,7 @@
     return Standing.FAULTY if failed_on >= MACHINES else Standing.UNKNOWN
 
 
-def sick(failures: Mapping[str, int], jobs: Mapping[str, Standing]) -> bool:
+def is_unhealthy(failures: Mapping[str, int], jobs: Mapping[str, Standing]) -> bool:
     """Of a machine: the failures there since a task was last done, by job."""
     good = [n for id, n in failures.items() if jobs[id] is Standing.GOOD]
     unknown = sum(1 for id in failures if jobs[id] is Standing.UNKNOWN)
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -10,20 +10,21 @@
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
 
 import msgspec
 import trio
 
 from .. import tokens, wire
-from ..http import Client, HttpError
 from ..policy import Policy
-from ..settings import Settings, host_port
+from ..settings import Settings
 from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
-from .jobs import Book
+from .capacity import group_ok, times
+from .cloud import Cloud, CloudDown, NoCapacity
+from .hiring import Booting, Group, Hiring
+from .jobs import JobStore
 from .machines import need_of
-from .members import Heartbeat, MachineNote, Members, part_of
-from .rooms import fits, group_ok, times
+from .members import Members, part_of
+from .messages import Heartbeat, MachineFlag, MachineStatus
 from .split import Split
 from .workers import Workers
 
@@ -33,31 +34,9 @@
 
 
 # Flags of machines that can't be reached, or don't hear what they are told.
-SILENT_FLAGS = frozenset({"lost", "unheard", "deaf"})
-# The protocol's most machines in one hire.
-HIRE_MOST = 50
-
-
-class CloudDown(Exception):
-    pass
-
-
-class NoCapacity(Exception):
-    pass
-
-
-class Group(NamedTuple):
-    """What one hire asks for."""
-
-    type: str
-    zone: str
-    spot: bool
-
-
-class Booting:
-    def __init__(self, group: Group, since: float):
-        self.group = group
-        self.since = since
+SILENT_FLAGS = frozenset({MachineFlag.LOST, MachineFlag.UNHEARD, MachineFlag.UNRESPONSIVE})
+USUAL_BOOT_S = 30.0  # where a machine's type isn't known
+BOOTS = 4  # times its usual boot that a machine may take
 
 
 @dataclass(slots=True)
@@ -68,41 +47,15 @@
     seen_at: float  # when that was last confirmed
 
 
-class Cloud:
-    """The cloud's interface, under a bucket for all nodes together."""
-
-    def __init__(self, settings: Settings, policy: Policy):
-        self.address = host_port(settings.endpoints.cloud)
-        self.timeout = policy.cloud_timeout
-        rate = settings.deployment.cloud.rps * 0.8
-        self.bucket = tokens.Bucket(rate, rate)
-        self.client = Client(keep=2)
-
-    async def call(self, method: str, target: str, body: bytes = b"") -> bytes:
-        await self.bucket.take(tokens.PROGRESS)
-        try:
-            response = await self.client.call(
-                self.address, method, target, body, timeout=self.timeout
-            )
-        except HttpError as error:
-            self.client.drop(self.address)
-            raise CloudDown(str(error)) from None
-        if response.status == 429:
-            self.bucket.penalty()
-        if response.status == 503 and b"no capacity" in response.body:
-            raise NoCapacity
-        if response.status != 200:
-            raise CloudDown(f"status {response.status}")
-        return response.body
-
-
 class Fleet:
+    """The leader's view of all machines: which to return, which to rent."""
+
     def __init__(
         self,
         settings: Settings,
         policy: Policy,
         members: Members,
-        book: Book,
+        job_store: JobStore,
         workers: Workers,
         split: Split,
         store: Store,
@@ -111,7 +64,7 @@
         self.settings = settings
         self.policy = policy
         self.members = members
-        self.book = book
+        self.job_store = job_store
         self.workers = workers
         self.split = split
         self.store = store
@@ -121,12 +74,10 @@
         self.listed: dict[str, wire.Listed] = {}
         self.absent_since: dict[str, float] = {}
         self.booting: dict[str, Booting] = {}
-        self.refused: dict[Group, tuple[float, float]] = {}  # group -> (until, pause)
-        self.pending: wire.Hire | None = None  # a hire without an answer
-        self.counter = 0
+        self.hiring = Hiring(self)
         self.led_since: float | None = None
         self.led_token = 0
-        self.unseen: dict[str, float] = {}  # listed as running, but in nobody's notes
+        self.unseen: dict[str, float] = {}  # listed as running, but in nobody's statuses
         self.silences: dict[str, Silence] = {}
         self.demand: dict[tuple[object, ...], list[tuple[float, int]]] = {}
         self.demand_at = -1e9
@@ -203,8 +154,9 @@
     # --- the leader's loop --------------------------------------------------------
 
     async def run(self) -> None:
+        """The leader's loop: read the list, return machines, rent others."""
         while True:
-            token = self.members.sure_leader()
+            token = self.members.confirmed_leader()
             if token is None or self.replica.seen < 0:
                 if self.members.leading is None:
                     self.led_since = None
@@ -213,7 +165,7 @@
             if (
                 self.led_since is None
                 or self.led_token != token
-                or self.led_since < self.members.stood_at()
+                or self.led_since < self.members.resumed_at()
             ):
                 # A new leader knows nothing of earlier hires until it has read the list.
                 self.led_since = trio.current_time()
@@ -222,7 +174,7 @@
                 self.unseen.clear()
                 self.booting.clear()
                 self.listed.clear()
-                self.pending = None
+                self.hiring.pending = None
                 self.drain.clear()
                 log.info("leading token=%d", token)
             try:
@@ -230,7 +182,7 @@
                 await self._judge()
                 await self._release()
                 if self.lists:
-                    await self._hire(token)
+                    await self.hiring.hire(token)
                 self._trouble("")
             except (CloudDown, msgspec.MsgspecError) as error:
                 self._trouble(str(error))
@@ -272,68 +224,87 @@
     _listed_at = -1e9
     _observed_at = -1e9
 
-    def notes(self) -> dict[str, MachineNote]:
-        return {m.name: m for note in self.split.notes.newest.values() for m in note.machines}
+    def statuses(self) -> dict[str, MachineStatus]:
+        """Every machine that any part has told of, by name."""
+        return {
+            m.name: m for status in self.split.statuses.newest.values() for m in status.machines
+        }
 
     async def _judge(self) -> None:
-        """Which machines to return: failed, stuck in boot, silent, sick, or idle."""
+        """Which machines to return: failed, stuck in boot, silent, unhealthy, or idle."""
         now = trio.current_time()
-        notes = self.notes()
-        lag = self.settings.deployment.cloud.list_lag_s
-        for name, booting in list(self.booting.items()):
-            kind = self.types.get(booting.group.type)
-            limit = (kind.boot if kind else 30.0) * 4 + lag
-            if name in notes:
-                del self.booting[name]
-            elif now - booting.since > limit:
-                del self.booting[name]
-                self._return(name, "never came up")
+        statuses = self.statuses()
+        self._judge_booting(statuses, now)
         for name, machine in list(self.listed.items()):
-            if name in self.gone:
-                continue
-            kind = self.types.get(machine.type)
-            boot = kind.boot if kind else 30.0
-            if machine.state == wire.FAILED:
-                self._return(name, "failed")
-            elif machine.state == wire.BOOTING and name not in notes:
-                if machine.age > boot * 4 + lag:
-                    self._return(name, "never came up")
-                elif name not in self.booting:
-                    group = Group(machine.type, machine.zone, machine.spot)
-                    self.booting[name] = Booting(group, now - machine.age)
-            elif name in notes or not self._vouched(name):
-                # Right after a takeover nobody has heard a part's machines yet.
-                self.unseen.pop(name, None)
-            elif machine.age > boot * 4:
-                since = self.unseen.setdefault(name, now)
-                if now - since > self.policy.silence * 2:
-                    self._return(name, "never reported")
-        for name, note in notes.items():
-            if name in self.gone:
-                continue
-            if note.flag in ("lost", "unheard", "deaf"):
-                # Unheard: a takeover waits for it. Deaf: it reports, but its lease runs out
-                # all the same. Lost: its lease is over, its tasks go elsewhere and others
-                # are hired in its place; it may only hang, or its zone be cut off, and if
-                # it is dead the list soon says so. Returned at once, dozens that were about
-                # to go on would have to boot anew.
-                limit = self.policy.silence / (1 if note.flag == "lost" else 2)
-                silence = self.silences.get(name)
-                if silence is not None and now - silence.since > limit:
-                    self._return(name, "silent")
-            if note.flag == "notice" and note.tasks == 0:
-                self._return(name, "taken back")
-            if note.flag == "sick" and note.tasks == 0:
-                self._return(name, "sick")
+            if name not in self.gone:
+                self._judge_listed(name, machine, statuses, now)
+        for name, status in statuses.items():
+            if name not in self.gone:
+                self._judge_reported(name, status, now)
         if now - self.demand_at >= self.policy.period:
             self.demand_at = now
             self._observe_demand(now)
-        self._idle(notes, now)
+        self._idle(statuses, now)
+        self._return_drained(statuses)
+
+    def _boot_limit(self, kind: wire.MachineType | None) -> float:
+        """Seconds after which a machine that is still not up never will be."""
+        return self._boot_of(kind) * BOOTS + self.settings.deployment.cloud.list_lag_s
+
+    @staticmethod
+    def _boot_of(kind: wire.MachineType | None) -> float:
+        return kind.boot if kind else USUAL_BOOT_S
+
+    def _judge_booting(self, statuses: dict[str, MachineStatus], now: float) -> None:
+        for name, booting in list(self.booting.items()):
+            if name in statuses:
+                del self.booting[name]
+            elif now - booting.since > self._boot_limit(self.types.get(booting.group.type)):
+                del self.booting[name]
+                self._return(name, "never came up")
+
+    def _judge_listed(
+        self, name: str, machine: wire.Listed, statuses: dict[str, MachineStatus], now: float
+    ) -> None:
+        kind = self.types.get(machine.type)
+        if machine.state == wire.FAILED:
+            self._return(name, "failed")
+        elif machine.state == wire.BOOTING and name not in statuses:
+            if machine.age > self._boot_limit(kind):
+                self._return(name, "never came up")
+            elif name not in self.booting:
+                group = Group(machine.type, machine.zone, machine.spot)
+                self.booting[name] = Booting(group, now - machine.age)
+        elif name in statuses or not self._vouched(name):
+            # Right after a takeover nobody has heard a part's machines yet.
+            self.unseen.pop(name, None)
+        elif machine.age > self._boot_of(kind) * BOOTS:
+            since = self.unseen.setdefault(name, now)
+            if now - since > self.policy.silence * 2:
+                self._return(name, "never reported")
+
+    def _judge_reported(self, name: str, status: MachineStatus, now: float) -> None:
+        if status.flag in SILENT_FLAGS:
+            # Unheard: a takeover waits for it. Unresponsive: it reports, but its lease runs
+            # out all the same. Lost: its lease is over, its tasks go elsewhere and others
+            # are hired in its place; it may only hang, or its zone be cut off, and if
+            # it is dead the list soon says so. Returned at once, dozens that were about
+            # to go on would have to boot anew.
+            limit = self.policy.silence / (1 if status.flag == MachineFlag.LOST else 2)
+            silence = self.silences.get(name)
+            if silence is not None and now - silence.since > limit:
+                self._return(name, "silent")
+        if status.flag == MachineFlag.NOTICE and status.tasks == 0:
+            self._return(name, "taken back")
+        if status.flag == MachineFlag.UNHEALTHY and status.tasks == 0:
+            self._return(name, "unhealthy")
+
+    def _return_drained(self, statuses: dict[str, MachineStatus]) -> None:
         for name in list(self.drain):
-            note_ = notes.get(name)
-            if note_ is None:
+            status = statuses.get(name)
+            if status is None:
                 del self.drain[name]
-            elif note_.flag == "drain" and note_.tasks == 0:
+            elif status.flag == MachineFlag.DRAINING and status.tasks == 0:
                 del self.drain[name]
                 self._return(name, "idle")
 
@@ -344,18 +315,18 @@
         machine with it, though all nodes have known of it for long.
         """
         while True:
-            await trio.sleep(self.policy.beat)
+            await trio.sleep(self.policy.heartbeat_interval)
             self._observe_silences()
 
     def _observe_silences(self) -> None:
         now = trio.current_time()
-        if self.members.stood_at() > self._observed_at:
+        if self.members.resumed_at() > self._observed_at:
             self.silences.clear()  # nobody was listening
         self._observed_at = now
-        for name, note in self.notes().items():
-            if note.flag not in SILENT_FLAGS:
+        for name, status in self.statuses().items():
+            if status.flag not in SILENT_FLAGS:
                 self.silences.pop(name, None)
-            elif self._is_fresh(note.name, now):
+            elif self._is_fresh(status.name, now):
                 self.silences.setdefault(name, Silence(now, now)).seen_at = now
         # What nobody has confirmed for long may have ended unseen.
         gap = self.settings.deployment.workers.lease_s / 2
@@ -367,56 +338,56 @@
         part = part_of(machine, self.settings.deployment.count)
         if part in self.split.parts.work:
             return True
-        return now - self.split.notes.noted_at.get(part, -1e9) < self.policy.session_ttl
+        return now - self.split.statuses.received_at.get(part, -1e9) < self.policy.session_ttl
 
     def _vouched(self, name: str) -> bool:
         """Whether the owner of the machine's part knows all its machines by now."""
-        note = self.split.notes.newest.get(part_of(name, self.settings.deployment.count))
-        return note is not None and note.settled
+        status = self.split.statuses.newest.get(part_of(name, self.settings.deployment.count))
+        return status is not None and status.settled
 
     def _return(self, name: str, cause: str) -> None:
         if name not in self.releasing:
             log.info("returning machine=%s cause=%s", name, cause)
             self.releasing[name] = cause
 
-    def _idle(self, notes: dict[str, MachineNote], now: float) -> None:
+    def _idle(self, statuses: dict[str, MachineStatus], now: float) -> None:
         """Idle machines go back, dearest first, but for what keeps each class startable."""
-        kept = self._kept(notes)
+        kept = self._kept(statuses)
         waits = self._waiting_specs()
-        for name, note in notes.items():
-            if note.flag or note.tasks or name in kept or name in self.drain:
+        for name, status in statuses.items():
+            if status.flag or status.tasks or name in kept or name in self.drain:
                 continue
-            if note.idle_for < self.policy.idle_release:
+            if status.idle_for < self.policy.idle_release:
                 continue
-            if self._needed(note, waits):
+            if self._needed(status, waits):
                 continue
             self.drain[name] = now
 
     def _waiting_specs(self) -> list[wire.JobSpec]:
         """What waits and its team's limit allows: each shape of need once."""
         found: dict[tuple[object, ...], wire.JobSpec] = {}
-        for part in self.split.notes.newest.values():
+        for part in self.split.statuses.newest.values():
             for id in part.waiting:
-                job = self.book.open.get(id)
+                job = self.job_store.open.get(id)
                 if job is not None:
                     spec = job.spec
                     key = (need_of(spec), spec.team, spec.types, spec.zone, spec.spot)
                     found.setdefault(key, spec)
         return [spec for spec in found.values() if self.split.teams.limit_left(spec)]
 
-    def _needed(self, note: MachineNote, waits: list[wire.JobSpec]) -> bool:
-        kind = self.types.get(note.type)
-        return kind is None or any(group_ok(spec, kind, note.zone, note.spot) for spec in waits)
+    def _needed(self, status: MachineStatus, waits: list[wire.JobSpec]) -> bool:
+        kind = self.types.get(status.type)
+        return kind is None or any(group_ok(spec, kind, status.zone, status.spot) for spec in waits)
 
     def _observe_demand(self, now: float) -> None:
         """Remember how many tasks of each shape ran or waited at once lately."""
         counts: dict[tuple[object, ...], int] = {}
-        for job in self.book.open.values():
+        for job in self.job_store.open.values():
             spec = job.spec
             left = spec.tasks - job.finished.count
             shape = (spec.job_class, spec.types, spec.zone, spec.spot)
             counts[shape] = counts.get(shape, 0) + min(
-                left, 1 + self.split.teams.limit_left(spec) + self.split.notes.running(job.id)
+                left, 1 + self.split.teams.limit_left(spec) + self.split.statuses.running(job.id)
             )
         window = self.policy.ready_for
         for key, count in counts.items():
@@ -426,7 +397,7 @@
             if not self.demand[key]:
                 del self.demand[key]
 
-    def _kept(self, notes: dict[str, MachineNote]) -> set[str]:
+    def _kept(self, statuses: dict[str, MachineStatus]) -> set[str]:
         """Machines kept ready: where a class can't wait for a boot, its recent peak.
 
         A class whose aim leaves less time than two boots would miss it by hiring only
@@ -436,15 +407,15 @@
         for shape, spec in self.split.parts.recent.items():
             peak = max((n for _, n in self.demand.get(shape, ())), default=1)
             able = []
-            for name, note in notes.items():
-                kind = self.types.get(note.type)
-                if kind is None or note.flag or name in self.drain:
+            for name, status in statuses.items():
+                kind = self.types.get(status.type)
+                if kind is None or status.flag or name in self.drain:
                     continue
                 if self.split.order.slack(spec) > kind.boot * 2:
                     continue
-                if group_ok(spec, kind, note.zone, note.spot):
+                if group_ok(spec, kind, status.zone, status.spot):
                     fit = times(need_of(spec), (kind.cpus, kind.gpus, kind.memory))
-                    price = (kind.spot_price or kind.price) if note.spot else kind.price
+                    price = (kind.spot_price or kind.price) if status.spot else kind.price
                     able.append((price / fit, name, fit))
             for _, name, fit in sorted(able):
                 if peak <= 0:
@@ -454,7 +425,7 @@
         return keep
 
     async def _release(self) -> None:
-        while self.releasing and self.members.sure_leader() is not None:
+        while self.releasing and self.members.confirmed_leader() is not None:
             names = list(self.releasing)[:100]
             await self.cloud.call("POST", "/machines/release", encode(wire.Names(names)))
             now = trio.current_time()
@@ -466,137 +437,26 @@
                 # The answer is the proof that all on it is gone.
                 self.workers.forget_machine(name)
 
-    # --- hiring -----------------------------------------------------------------------
-
-    async def _hire(self, token: int) -> None:
-        now = trio.current_time()
-        for _ in range(6):
-            if self.members.sure_leader() != token:
-                return
-            if self.pending is None:
-                found = self._next(now)
-                if found is None:
-                    return
-                group, count = found
-                self.counter += 1
-                self.pending = wire.Hire(
-                    f"h-{token}-{self.counter}", group.type, group.zone, group.spot, count
-                )
-            hire = self.pending
-            group = Group(hire.type, hire.zone, hire.spot)
-            try:
-                body = await self.cloud.call("POST", "/machines", encode(hire))
-            except NoCapacity:
-                self.pending = None
-                pause = min(self.refused.get(group, (0.0, 5.0))[1] * 2, 60.0)
-                self.refused[group] = (now + pause, pause)
-                log.info("hire refused type=%s zone=%s spot=%s", *group)
-                continue
-            names = msgspec.json.decode(body, type=wire.Names).machines
-            self.pending = None
-            if len(names) < hire.count:
-                self.refused[group] = (now + 20.0, 20.0)
-            else:
-                self.refused.pop(group, None)
-            log.info("hired type=%s zone=%s spot=%s count=%d", *group, len(names))
-            for name in names:
-                self.booting[name] = Booting(group, now)
-
-    def groups(self) -> Iterable[Group]:
-        for kind in self.types.values():
-            for zone in kind.zones:
-                yield Group(kind.name, zone, False)
-                if kind.spot_price is not None:
-                    yield Group(kind.name, zone, True)
-
-    def _next(self, now: float) -> tuple[Group, int] | None:
-        """The next hire that waiting work calls for, cheapest per task first."""
-        open_groups = [g for g in self.groups() if self.refused.get(g, (0.0, 0.0))[0] <= now]
-        if not open_groups:
-            return None
-        notes = self.notes()
-        supply: list[tuple[Group, int]] = [
-            (Group(n.type, n.zone, n.spot), 1) for n in notes.values() if n.flag in ("", "new")
-        ] + [(b.group, 1) for b in self.booting.values()]
-        waiting: dict[str, int] = {}
-        for part in self.split.notes.newest.values():
-            for id, count in part.waiting.items():
-                waiting[id] = waiting.get(id, 0) + count
-        for job in self.book.open.values():
-            unassigned = job.record.tasks - sum(b - a for a, b, _ in job.record.ranges)
-            if unassigned > 0:
-                waiting[job.id] = waiting.get(job.id, 0) + unassigned
-        shapes: dict[tuple[object, ...], tuple[wire.JobSpec, float, int]] = {}
-        for id, count in waiting.items():
-            found = self.book.open.get(id)
-            if found is None:
-                continue
-            spec = found.spec
-            shape = (spec.job_class, spec.types, spec.zone, spec.spot)
-            _, seconds, total = shapes.get(shape, (spec, 0.0, 0))
-            shapes[shape] = (spec, seconds + count * self.split.estimates.task(spec), total + count)
-        for spec, seconds, total in shapes.values():
-            need = need_of(spec)
-            # More machines than the team's limit can fill would only cost.
-            allowed = self.split.teams.limit_left(spec)
-            slots = 0
-            for group, count in supply:
-                kind = self.types.get(group.type)
-                if kind is not None and group_ok(spec, kind, group.zone, group.spot):
-                    slots += times(need, (kind.cpus, kind.gpus, kind.memory)) * count
-            options = []
-            for group in open_groups:
-                kind = self.types[group.type]
-                if not group_ok(spec, kind, group.zone, group.spot):
-                    continue
-                fit = times(need, (kind.cpus, kind.gpus, kind.memory))
-                price = (kind.spot_price if group.spot else kind.price) or kind.price
-                options.append((price / fit, kind.boot, group, fit))
-            if not options:
-                continue
-            _, _, group, fit = min(options)
-            # Work that the present machines finish before a new one is up needs none.
-            patience = self.policy.hire_patience * self.split.order.slack(spec)
-            if slots and seconds / slots <= patience:
-                continue
-            free = sum(
-                times(need, n.free)
-                for n in notes.values()
-                if not n.flag
-                and (k := self.types.get(n.type)) is not None
-                and group_ok(spec, k, n.zone, n.spot)
-            )
-            coming = sum(
-                times(need, (k.cpus, k.gpus, k.memory))
-                for b in self.booting.values()
-                if (k := self.types.get(b.group.type)) is not None
-                and group_ok(spec, k, b.group.zone, b.group.spot)
-            )
-            short = min(seconds / patience - slots, total, allowed - free - coming)
-            if short <= 0:
-                continue
-            count = max(1, min(int(short / fit + 0.999), HIRE_MOST))
-            return group, count
-        return None
-
     # --- what others are told -------------------------------------------------------------
 
     def released_names(self) -> list[str]:
+        """Machines that the cloud has confirmed gone lately."""
         now = trio.current_time()
         for name in [n for n, at in self.gone.items() if now - at > 120]:
             del self.gone[name]
         return list(self.gone)
 
     def drain_names(self) -> list[str]:
+        """Machines that are to take no more work."""
         return list(self.drain)
 
-    def take_beat(self, beat: Heartbeat) -> None:
+    def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """What the leader says about machines of ours."""
-        for name in beat.released:
+        for name in heartbeat.released:
             if name not in self.workers.released or name in self.workers.machines:
                 self.workers.forget_machine(name)
-        if beat.node == self.members.owner(0):
-            self._apply_drain(beat.drain)
+        if heartbeat.node == self.members.owner(0):
+            self._apply_drain(heartbeat.drain)
 
     def _apply_drain(self, names: Iterable[str]) -> None:
         wanted = set(names)
@@ -604,8 +464,6 @@
             machine.drain = machine.name in wanted
 
     def own_drain(self) -> None:
+        """Apply the leader's drains to the leader's own machines."""
         if self.members.leading is not None:
             self._apply_drain(self.drain)
-
-
-__all__ = ["Cloud", "Fleet", "Group", "fits"]
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -4,18 +4,14 @@
 
 import logging
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 import trio
 
 from .. import wire
 from ..store import StoreDown
-from .holdings import Holding, PartWork
-from .jobs import Bits, Job, merge
-from .machines import Machine, Need, need_of
-from .members import PartNote
-from .rooms import (
+from .capacity import (
     FREE,
     KEPT,
     OVER,
@@ -24,11 +20,15 @@
     covered,
     fits,
     group_ok,
-    plan_rooms,
+    plan_gang,
     times,
     whole,
 )
-from .slice import Slice
+from .component import SchedulerComponent
+from .holdings import Holding, PartWork
+from .jobs import Bits, Job, merge
+from .machines import Machine, Need, need_of
+from .messages import MachineFlag, PartStatus
 
 if TYPE_CHECKING:
     from .split import Split
@@ -37,19 +37,31 @@
 
 # Pieces that a job's record may fall into: it has to fit into one value of the store.
 RANGES = 40
+# Machines that are expected to be of use again, whether they are heard or not.
+UP_FLAGS = frozenset({MachineFlag.USABLE, MachineFlag.LOST, MachineFlag.UNHEARD})
+
+
+class Opening(NamedTuple):
+    """When a machine has room for its n-th task of a job."""
 
+    eta: float  # seconds from now
+    name: str
+    n: int
+    machine: Machine
 
-class Gangs(Slice):
+
+class Gangs(SchedulerComponent):
     """Gangs, and other jobs that stay whole: planned over parts, kept room, started at once."""
 
     def __init__(self, split: Split) -> None:
         super().__init__(split)
         self.counter = 0
         self.keeping: tuple[str, float] | None = None  # the gang that waits for kept room
-        # Room promised to gangs that notes can't show yet: (at, (part, zone), need, tasks).
+        # Room promised to gangs that statuses can't show yet: (at, (part, zone), need, tasks).
         self.booked: list[tuple[float, tuple[int, str], Need, int]] = []
 
     def start(self, work: PartWork, part: int) -> None:
+        """Place the gangs of a part that find all their room now."""
         if not work.gangs:
             return
         now = trio.current_time()
@@ -96,21 +108,21 @@
         """
         id, part = holding.job.id, holding.part
         work.ready.add(id)
-        fresh = now - self.policy.beat * 4
+        fresh = now - self.policy.heartbeat_interval * 4
         for other in {p for _, _, p in holding.job.record.ranges if p != part}:
             theirs = self.split.parts.work.get(other)
             if theirs is not None:
                 ready = id in theirs.ready
             elif (
-                self.split.notes.noted_at.get(other, -1e9) < fresh
-                or other not in self.split.notes.newest
+                self.split.statuses.received_at.get(other, -1e9) < fresh
+                or other not in self.split.statuses.newest
             ):
                 ready = True
             else:
-                ready = id in self.split.notes.newest[other].ready
+                ready = id in self.split.statuses.newest[other].ready
             if not ready:
                 for machine in plan:
-                    machine.reserved = (id, now + self.policy.beat * 4)
+                    machine.reserved = (id, now + self.policy.heartbeat_interval * 4)
                 return False
         return True
 
@@ -120,7 +132,7 @@
         spec = job.spec
         need = need_of(spec)
         wanted = holding.pool.count
-        if self.split.teams.room(part, spec) < wanted:
+        if self.split.teams.tasks_within_limit(part, spec) < wanted:
             return None
         machines = []
         for machine in self.workers.of_part(part):
@@ -177,47 +189,58 @@
         # Also for a task so large that small ones always take what frees up first.
         waiting = [(h.release, id, h) for id, h in work.holdings.items() if h.gang or h.aged]
         for _, id, holding in sorted(waiting, key=lambda r: r[:2]):
-            if (
-                holding.placed
-                or id in kept
-                or (holding.job.record.attempt and holding.tried == holding.job.record.attempt)
-            ):
-                continue
-            if (
-                not self.split.parts.ready(work, id, holding, now)
-                or now - holding.since < self.report_s
-            ):
+            if id in kept or not self._may_reserve(work, holding, now):
                 continue
             wanted = holding.pool.count if holding.gang else 1
             if wanted > 1 and (wide or not self.split.order.late(holding.job)):
                 continue
-            if not holding.gang and (large or not self.split.teams.room(part, holding.spec)):
+            if not holding.gang and (
+                large or not self.split.teams.tasks_within_limit(part, holding.spec)
+            ):
                 continue  # in a flood beyond the limit every array has waited long
-            rows = []
-            for machine in machines:
-                if machine.reserved and machine.reserved[1] >= now:
-                    continue
-                if self.split.parts.machine_ok(holding, machine):
-                    for n in range(1, wanted + 1):
-                        a, b, c = holding.need
-                        eta = self._room_at(machine, (a * n, b * n, c * n), now)
-                        if eta is None:
-                            break
-                        rows.append((eta, machine.name, n, machine))
-            chosen = sorted(rows, key=lambda r: r[:3])[:wanted]
-            if len(chosen) < wanted or not chosen or chosen[-1][0] <= 0:
+            chosen = self._soonest(holding, machines, wanted, now)
+            if not chosen or chosen[-1].eta <= 0:
                 continue
-            eta = chosen[-1][0]
+            eta = chosen[-1].eta
             if wanted > 1:
                 if eta > self.policy.start_within / 8:
                     continue
-                if self.split.teams.room(part, holding.spec) < wanted:
+                if self.split.teams.tasks_within_limit(part, holding.spec) < wanted:
                     continue  # its team's limit is what it waits for
                 wide = True
             large = large or not holding.gang
-            for machine in {row[1]: row[3] for row in chosen}.values():
+            names = {opening.machine.name: opening.machine for opening in chosen}
+            for machine in names.values():
                 machine.reserved = (id, now + eta * 1.5 + self.report_s * 3)
-            log.info("kept machines=%d for=%s eta=%.1f", len({r[1] for r in chosen}), id, eta)
+            log.info("kept machines=%d for=%s eta=%.1f", len(names), id, eta)
+
+    def _may_reserve(self, work: PartWork, holding: Holding, now: float) -> bool:
+        """Whether room may be kept for a job: it waits, and has done so for a report."""
+        attempt = holding.job.record.attempt
+        if holding.placed or (attempt and holding.tried == attempt):
+            return False
+        if now - holding.since < self.report_s:
+            return False
+        return self.split.parts.ready(work, holding.job.id, holding, now)
+
+    def _soonest(
+        self, holding: Holding, machines: list[Machine], wanted: int, now: float
+    ) -> list[Opening]:
+        """Where that many tasks find room soonest; nothing if there is none for all."""
+        a, b, c = holding.need
+        openings = []
+        for machine in machines:
+            if machine.reserved and machine.reserved[1] >= now:
+                continue
+            if not self.split.parts.machine_ok(holding, machine):
+                continue
+            for n in range(1, wanted + 1):
+                eta = self._room_at(machine, (a * n, b * n, c * n), now)
+                if eta is None:
+                    break
+                openings.append(Opening(eta, machine.name, n, machine))
+        chosen = sorted(openings, key=lambda opening: opening[:3])[:wanted]
+        return chosen if len(chosen) == wanted else []
 
     def _room_at(self, machine: Machine, need: Need, now: float) -> float | None:
         """Seconds until a machine has room for a need if nothing more starts there."""
@@ -235,6 +258,7 @@
         return None
 
     def kept_for(self, part: int, id: str) -> bool:
+        """Whether a machine of the part is kept free for the job."""
         now = trio.current_time()
         return any(
             m.reserved and m.reserved[0] == id and m.reserved[1] >= now
@@ -250,7 +274,9 @@
         if self.split.teams.limit_left(spec) < spec.tasks:
             return None
         now = trio.current_time()
-        self.booked = [row for row in self.booked if now - row[0] < self.policy.beat * 3]
+        self.booked = [
+            row for row in self.booked if now - row[0] < self.policy.heartbeat_interval * 3
+        ]
         under = self.split.teams.under(spec)
         modes = [FREE]
         if spec.rank != wire.RANKS[-1]:
@@ -260,8 +286,8 @@
         if job is not None and self.split.order.late(job) and self._may_keep(job.id, now):
             modes.append(KEPT)
         for mode in modes:
-            rooms = self._rooms(spec, mode)
-            found = plan_rooms(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
+            rooms = self._free_capacity(spec, mode)
+            found = plan_gang(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
             if found is None:
                 continue
             for key, count in found.items():
@@ -300,9 +326,9 @@
         """Room is kept for one gang at a time: two could each hold half of the other's."""
         if self.keeping is None or self.keeping[0] == id:
             return True
-        job = self.book.open.get(self.keeping[0])
+        job = self.job_store.open.get(self.keeping[0])
         waits = job is not None and not any(
-            job.id in n.running for n in self.split.notes.newest.values()
+            job.id in n.running for n in self.split.statuses.newest.values()
         )
         return not waits or now - self.keeping[1] > self.policy.start_within / 4
 
@@ -314,32 +340,34 @@
             log.info("gang waits for room job=%s part=%d zone=%s", spec.id, part, plan.zone)
         return plan
 
-    def _rooms(self, spec: wire.JobSpec, mode: int) -> dict[tuple[int, str], int]:
+    def _free_capacity(self, spec: wire.JobSpec, mode: int) -> dict[tuple[int, str], int]:
         """Tasks that each part could start in each zone, less what was booked just now."""
         need = need_of(spec)
         rooms: dict[tuple[int, str], int] = {}
-        for note in self.split.notes.newest.values():
-            for zone, count in self._rooms_in(note, spec, mode).items():
-                rooms[(note.part, zone)] = count
+        for status in self.split.statuses.newest.values():
+            for zone, count in self._free_capacity_in(status, spec, mode).items():
+                rooms[(status.part, zone)] = count
         for _, key, (a, b, c), count in self.booked:
             if key in rooms:
                 share = max((x / y for x, y in zip((a, b, c), need, strict=True) if y), default=0)
                 rooms[key] = max(0, rooms[key] - math.ceil(count * min(1.0, share)))
         return rooms
 
-    def _rooms_in(self, note: PartNote, spec: wire.JobSpec, mode: int) -> dict[str, int]:
-        """Tasks that a part could start in each zone; worked out once a note and shape.
+    def _free_capacity_in(
+        self, status: PartStatus, spec: wire.JobSpec, mode: int
+    ) -> dict[str, int]:
+        """Tasks that a part could start in each zone; worked out once a status and shape.
 
         The leader plans every gang that waits, several times a second.
         """
         need = need_of(spec)
-        known = self.split.notes.zones.setdefault(note.part, {})
+        known = self.split.statuses.zones.setdefault(status.part, {})
         key = (mode, need, spec.types, spec.zone, spec.spot)
         found = known.get(key)
         if found is not None:
             return found
         found = known[key] = {}
-        for (type_, zone, spot), machines in self.split.notes.groups_of(note).items():
+        for (type_, zone, spot), machines in self.split.statuses.groups_of(status).items():
             kind = self.types().get(type_)
             if kind is None or not group_ok(spec, kind, zone, spot):
                 continue
@@ -348,9 +376,9 @@
                 if machine.flag:
                     continue
                 a, b, c = machine.free
-                if mode == KEPT and machine.name not in note.kept:
+                if mode == KEPT and machine.name not in status.kept:
                     a, b, c = kind.cpus, kind.gpus, kind.memory
-                elif mode in (YIELDING, OVER) and machine.name not in note.kept:
+                elif mode in (YIELDING, OVER) and machine.name not in status.kept:
                     x, y, z = machine.yielding
                     a, b, c = a + x, b + y, c + z
                     if mode == OVER:
@@ -395,9 +423,7 @@
         return Plan(ranges, zone)
 
     async def give_back(self) -> None:
-        """A whole job that can't start here goes back to the leader, for a fresh look."""
-        now = trio.current_time()
-        limit = self.settings.deployment.workers.gang_wait_s / 2
+        """Whole jobs that can't start here go back to the leader, for a fresh look."""
         for part, work in list(self.split.parts.work.items()):
             token = self.members.token(part)
             if not work.settled or token is None:
@@ -406,67 +432,82 @@
                 job = holding.job
                 if not job.open or not whole(job.spec) or holding.moving:
                     continue
-                begun = bool(job.finished.count or job.local)
                 if holding.placed:
-                    if job.record.attempt and not covered(job) and not begun:
-                        # Another part gave up: this attempt can never be complete.
-                        for placement in list(holding.placed.values()):
-                            self.workers.stop(placement, job.spec.save)
-                    continue
-                if not holding.pool.count:
-                    continue
-                failed = (
-                    not begun
-                    and job.record.attempt
-                    and (holding.tried == job.record.attempt or not covered(job))
-                )
-                patience = limit
-                if self.kept_for(part, job.id):
-                    patience = limit * 4
-                elif (
-                    holding.gang
-                    and not begun
-                    and not self.split.order.late(job)
-                    and job.id not in work.ready
-                    and (self.split.teams.limit_left(job.spec) >= job.spec.tasks)
-                ):
-                    # What it was planned on went to others: look elsewhere at once.
-                    patience = self.report_s * 2
-                if not failed and now - holding.since < patience:
-                    continue
-                # What is done stays with the part that did it.
-                rest = merge(
-                    (a, b, p)
-                    for first, end, p in job.record.ranges
-                    for a, b in (
-                        [(first, end)]
-                        if p != part
-                        else [(t, t + 1) for t in range(first, end) if job.is_finished(t)]
-                    )
-                )
-                if len(rest) > RANGES:
-                    # Too many pieces for a record: all of it goes, once what is done is durable.
-                    if job.local:
-                        continue
-                    rest = [r for r in job.record.ranges if r[2] != part]
-                holding.since = now
-                holding.moving = True
-                version = job.version
-                work.ready.discard(job.id)
-                try:
-                    await self.split.write_ranges(
-                        job,
-                        {f"pt/parts/{part}": token},
-                        rest,
-                        zone=job.record.zone if self._goes_on(job, rest) else None,
-                    )
-                except StoreDown as error:
-                    await self.split.settle_job(error, job, version, part, token)
-                finally:
-                    holding.moving = False
-                    if job.open:
-                        self.split.parts.hold(job, part)
-                        holding.rebuild()
+                    self._stop_if_incomplete(holding)
+                elif holding.pool.count and self._gives_up(work, holding):
+                    await self._give_back(work, holding, token)
+
+    def _stop_if_incomplete(self, holding: Holding) -> None:
+        """Stop the tasks of an attempt that another part has given up."""
+        job = holding.job
+        begun = bool(job.finished.count or job.local)
+        if job.record.attempt and not covered(job) and not begun:
+            for placement in list(holding.placed.values()):
+                self.workers.stop(placement, job.spec.save)
+
+    def _gives_up(self, work: PartWork, holding: Holding) -> bool:
+        """Whether a job has waited here in vain, or its attempt has failed."""
+        job = holding.job
+        begun = bool(job.finished.count or job.local)
+        attempt = job.record.attempt
+        if not begun and attempt and (holding.tried == attempt or not covered(job)):
+            return True
+        patience = self.settings.deployment.workers.gang_wait_s / 2
+        if self.kept_for(holding.part, job.id):
+            patience *= 4
+        elif (
+            holding.gang
+            and not begun
+            and not self.split.order.late(job)
+            and job.id not in work.ready
+            and self.split.teams.limit_left(job.spec) >= job.spec.tasks
+        ):
+            # What it was planned on went to others: look elsewhere at once.
+            patience = self.report_s * 2
+        return trio.current_time() - holding.since >= patience
+
+    def _without(self, job: Job, part: int) -> list[tuple[int, int, int]] | None:
+        """A job's ranges once a part has given its rest back; None if that must wait."""
+        # What is done stays with the part that did it.
+        rest = merge(
+            (a, b, p)
+            for first, end, p in job.record.ranges
+            for a, b in (
+                [(first, end)]
+                if p != part
+                else [(t, t + 1) for t in range(first, end) if job.is_finished(t)]
+            )
+        )
+        if len(rest) <= RANGES:
+            return rest
+        # Too many pieces for a record: all of it goes, once what is done is durable.
+        if job.local:
+            return None
+        return [r for r in job.record.ranges if r[2] != part]
+
+    async def _give_back(self, work: PartWork, holding: Holding, token: int) -> None:
+        job, part = holding.job, holding.part
+        rest = self._without(job, part)
+        if rest is None:
+            return
+        holding.since = trio.current_time()
+        holding.moving = True
+        version = job.version
+        work.ready.discard(job.id)
+        try:
+            await self.split.write_ranges(
+                job,
+                {f"pt/parts/{part}": token},
+                rest,
+                zone=job.record.zone if self._goes_on(job, rest) else None,
+            )
+        except StoreDown as error:
+            await self.split.settle_job(error, job, version, part, token)
+        finally:
+            holding.moving = False
+            if job.open:
+                self.split.parts.hold(job, part)
+                holding.rebuild()
 
     @staticmethod
     def _goes_on(job: Job, ranges: list[tuple[int, int, int]]) -> bool:
@@ -515,12 +556,12 @@
             return spec.zone
         parts = {p for _, _, p in ranges}
         rooms: dict[str, tuple[float, float]] = {}
-        for note in self.split.notes.newest.values():
-            if parts and note.part not in parts:
+        for status in self.split.statuses.newest.values():
+            if parts and status.part not in parts:
                 continue
-            for machine in note.machines:
+            for machine in status.machines:
                 kind = self.types().get(machine.type)
-                if kind is None or machine.flag not in ("", "lost", "unheard", "new"):
+                if kind is None or machine.flag not in UP_FLAGS | {MachineFlag.NEW}:
                     continue
                 if not group_ok(spec, kind, machine.zone, machine.spot):
                     continue
@@ -540,26 +581,26 @@
     def best_part(self, spec: wire.JobSpec) -> int | None:
         """For a job that stays whole: the part with room now, else the likeliest."""
         rows = []
-        for note in self.split.notes.newest.values():
+        for status in self.split.statuses.newest.values():
             able = sum(
                 times(need_of(spec), (k.cpus, k.gpus, k.memory))
-                for m in note.machines
-                if m.flag in ("", "lost", "unheard")
+                for m in status.machines
+                if m.flag in UP_FLAGS
                 and (k := self.types().get(m.type)) is not None
                 and group_ok(spec, k, m.zone, m.spot)
             )
             if able < (spec.tasks if spec.kind == wire.GANG else 1):
                 continue
             queued = sum(
-                count * self.split.levelling.share_ratio(spec, id)
-                for id, count in note.waiting.items()
+                count * self.split.rebalancing.share_ratio(spec, id)
+                for id, count in status.waiting.items()
             )
-            owed = sum(1 for at, _ in self.split.notes.debts.get(note.part, ()))
-            now = self.split.notes.room(note, spec, yielding=False) - owed
-            soon = self.split.notes.room(note, spec, yielding=True) - owed
-            rows.append((now < spec.tasks, soon < spec.tasks, queued / able, note.part))
+            owed = sum(1 for at, _ in self.split.statuses.unreported.get(status.part, ()))
+            now = self.split.statuses.free_capacity(status, spec, yielding=False) - owed
+            soon = self.split.statuses.free_capacity(status, spec, yielding=True) - owed
+            rows.append((now < spec.tasks, soon < spec.tasks, queued / able, status.part))
         if not rows:
             return None
         best = min(rows)[3]
-        self.split.notes.owe(best, spec, spec.tasks)
+        self.split.statuses.record_allocation(best, spec, spec.tasks)
         return best
--- /dev/null
+++ b/pitchtally/control/hiring.py
@@ -0,0 +1,196 @@
+"""Hires: which machines waiting work calls for, and the requests that rent them.
+
+Names of hires come from the leader's token and a counter, so that no node ever uses one
+twice; a hire without an answer is repeated under its name.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import trio
+
+from .. import wire
+from .capacity import group_ok, times
+from .cloud import NoCapacity
+from .machines import need_of
+from .messages import MachineFlag, MachineStatus
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+log = logging.getLogger("hiring")
+
+encode = msgspec.json.encode
+
+HIRE_MOST = 50  # the protocol's most machines in one hire
+HIRES_AT_ONCE = 6  # requests in one turn of the leader's loop
+# Seconds for which a group that had no machine, or not all of them, is left alone.
+FIRST_PAUSE, LONGEST_PAUSE, SHORT_PAUSE = 5.0, 60.0, 20.0
+
+
+class Group(NamedTuple):
+    """What one hire asks for."""
+
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Booting:
+    """A machine that was rented and has not been heard yet."""
+
+    group: Group
+    since: float
+
+
+@dataclass(slots=True)
+class Demand:
+    """Waiting tasks of one shape, all parts together."""
+
+    spec: wire.JobSpec
+    seconds: float = 0.0  # task-seconds
+    tasks: int = 0
+
+
+class Hiring:
+    """The leader's requests for machines."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.split = fleet.split
+        self.refused: dict[Group, tuple[float, float]] = {}  # group -> (until, pause)
+        self.pending: wire.Hire | None = None  # a hire without an answer
+        self.counter = 0
+
+    async def hire(self, token: int) -> None:
+        """Rent what waiting work calls for, as long as this node surely leads."""
+        now = trio.current_time()
+        for _ in range(HIRES_AT_ONCE):
+            if self.fleet.members.confirmed_leader() != token:
+                return
+            if self.pending is None:
+                found = self._next(now)
+                if found is None:
+                    return
+                group, count = found
+                self.counter += 1
+                self.pending = wire.Hire(
+                    f"h-{token}-{self.counter}", group.type, group.zone, group.spot, count
+                )
+            await self._send(self.pending, now)
+
+    async def _send(self, hire: wire.Hire, now: float) -> None:
+        group = Group(hire.type, hire.zone, hire.spot)
+        try:
+            body = await self.fleet.cloud.call("POST", "/machines", encode(hire))
+        except NoCapacity:
+            self.pending = None
+            pause = min(self.refused.get(group, (0.0, FIRST_PAUSE))[1] * 2, LONGEST_PAUSE)
+            self.refused[group] = (now + pause, pause)
+            log.info("hire refused type=%s zone=%s spot=%s", *group)
+            return
+        names = msgspec.json.decode(body, type=wire.Names).machines
+        self.pending = None
+        if len(names) < hire.count:
+            self.refused[group] = (now + SHORT_PAUSE, SHORT_PAUSE)
+        else:
+            self.refused.pop(group, None)
+        log.info("hired type=%s zone=%s spot=%s count=%d", *group, len(names))
+        for name in names:
+            self.fleet.booting[name] = Booting(group, now)
+
+    def _groups(self) -> Iterable[Group]:
+        for kind in self.fleet.types.values():
+            for zone in kind.zones:
+                yield Group(kind.name, zone, False)
+                if kind.spot_price is not None:
+                    yield Group(kind.name, zone, True)
+
+    def _next(self, now: float) -> tuple[Group, int] | None:
+        """The next hire that waiting work calls for, cheapest per task first."""
+        open_groups = [g for g in self._groups() if self.refused.get(g, (0.0, 0.0))[0] <= now]
+        if not open_groups:
+            return None
+        statuses = self.fleet.statuses()
+        for demand in self._demands():
+            cheapest = self._cheapest(demand.spec, open_groups)
+            if cheapest is None:
+                continue
+            group, fit = cheapest
+            short = self._short(demand, statuses)
+            if short > 0:
+                return group, max(1, min(int(short / fit + 0.999), HIRE_MOST))
+        return None
+
+    def _demands(self) -> Iterable[Demand]:
+        """What waits, assigned to a part or not yet, by shape."""
+        waiting: dict[str, int] = {}
+        for part in self.split.statuses.newest.values():
+            for id, count in part.waiting.items():
+                waiting[id] = waiting.get(id, 0) + count
+        for job in self.fleet.job_store.open.values():
+            unassigned = job.record.tasks - sum(b - a for a, b, _ in job.record.ranges)
+            if unassigned > 0:
+                waiting[job.id] = waiting.get(job.id, 0) + unassigned
+        shapes: dict[tuple[object, ...], Demand] = {}
+        for id, count in waiting.items():
+            found = self.fleet.job_store.open.get(id)
+            if found is None:
+                continue
+            spec = found.spec
+            shape = (spec.job_class, spec.types, spec.zone, spec.spot)
+            demand = shapes.get(shape) or Demand(spec)
+            demand.spec = spec
+            demand.seconds += count * self.split.estimates.task(spec)
+            demand.tasks += count
+            shapes[shape] = demand
+        return shapes.values()
+
+    def _cheapest(self, spec: wire.JobSpec, groups: list[Group]) -> tuple[Group, int] | None:
+        """The group whose machines cost least per task, and how many tasks one holds."""
+        options = []
+        for group in groups:
+            kind = self.fleet.types[group.type]
+            if not group_ok(spec, kind, group.zone, group.spot):
+                continue
+            fit = times(need_of(spec), (kind.cpus, kind.gpus, kind.memory))
+            price = (kind.spot_price if group.spot else kind.price) or kind.price
+            options.append((price / fit, kind.boot, group, fit))
+        if not options:
+            return None
+        _, _, group, fit = min(options)
+        return group, fit
+
+    def _short(self, demand: Demand, statuses: dict[str, MachineStatus]) -> float:
+        """Tasks' worth of machines that are missing for the demand to be met in time."""
+        spec = demand.spec
+        need = need_of(spec)
+        slots = free = 0
+        for status in statuses.values():
+            slots_here = self._slots(spec, Group(status.type, status.zone, status.spot))
+            if status.flag in (MachineFlag.USABLE, MachineFlag.NEW):
+                slots += slots_here
+            if status.flag == MachineFlag.USABLE and slots_here:
+                free += times(need, status.free)
+        coming = sum(self._slots(spec, booting.group) for booting in self.fleet.booting.values())
+        slots += coming
+        # Work that the present machines finish before a new one is up needs none.
+        patience = self.fleet.policy.hire_patience * self.split.order.slack(spec)
+        if slots and demand.seconds / slots <= patience:
+            return 0.0
+        # More machines than the team's limit can fill would only cost.
+        allowed = self.split.teams.limit_left(spec) - free - coming
+        return min(demand.seconds / patience - slots, demand.tasks, allowed)
+
+    def _slots(self, spec: wire.JobSpec, group: Group) -> int:
+        """Tasks of the job that an empty machine of the group holds, if the job allows it."""
+        kind = self.fleet.types.get(group.type)
+        if kind is None or not group_ok(spec, kind, group.zone, group.spot):
+            return 0
+        return times(need_of(spec), (kind.cpus, kind.gpus, kind.memory))
--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -2,19 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import trio
 
 from .. import wire
-from .jobs import Job
-from .machines import Group, Machine, Need, Placement, need_of
-from .rooms import (
+from .capacity import (
     RANK,
 )
-
-if TYPE_CHECKING:
-    pass
+from .jobs import Job
+from .machines import Group, Machine, Need, Placement, need_of
 
 
 class Pool:
@@ -25,11 +20,13 @@
         self.count = 0
 
     def put(self, first: int, end: int) -> None:
+        """Add a range of tasks."""
         if end > first:
             self.ranges.append((first, end))
             self.count += end - first
 
     def pop(self) -> int:
+        """Take one task."""
         first, end = self.ranges[-1]
         if end - first == 1:
             self.ranges.pop()
@@ -104,11 +101,12 @@
             self.pool.put(first, end)
 
     def give_back(self, task: int) -> None:
+        """A task is nowhere any more: it waits again, unless it is done or another part's."""
         if any(a <= task < b for a, b in self.ranges) and not self.job.is_finished(task):
             self.pool.put(task, task + 1)
 
 
-class Crowd:
+class MachineGroup:
     """Machines of a part that are alike, and the queue that they share evenly.
 
     A matrix by machine would cost more with every machine; like machines with one
@@ -124,6 +122,8 @@
 
 
 class PartWork:
+    """All that a part has to do: jobs, queues, and groups of like machines."""
+
     def __init__(self) -> None:
         self.loaded = False
         self.settled = False
@@ -133,9 +133,11 @@
         # The least CPUs and memory that a waiting task needs, as of the last survey: most
         # machines that report are too full for any.
         self.least: tuple[float, float] = (0.0, 0.0)
-        self.levelled: dict[Group, tuple[float, float]] = {}  # crowd -> (when, its level)
+        self.known_levels: dict[
+            Group, tuple[float, float]
+        ] = {}  # machine_group -> (when, its level)
         self.queues: dict[Group, dict[str, int]] = {}  # like machines -> job -> tasks
-        self.crowds: dict[Group, Crowd] = {}
+        self.machine_groups: dict[Group, MachineGroup] = {}
         self.running: list[int] = [0] * len(wire.RANKS)  # tasks on machines, by rank
         self.ready: set[str] = set()  # gangs over several parts that have their room here
         self.early: list[Placement] = []  # seen on machines before the part settled
--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -29,6 +29,8 @@
 
 
 class Record(Struct, omit_defaults=True):
+    """A job as the state service keeps it."""
+
     stage: str
     tasks: int
     spec: wire.JobSpec | None = None  # dropped once the job is over
@@ -60,6 +62,7 @@
         return bool(self.data[index >> 3] & (1 << (index & 7)))
 
     def add(self, index: int) -> bool:
+        """Add a member; False if it was one already."""
         if index in self:
             return False
         self.data[index >> 3] |= 1 << (index & 7)
@@ -75,6 +78,7 @@
                 self.count += new.bit_count()
 
     def text(self, first: int = 0, size: int | None = None) -> str:
+        """The set, or a stretch of its bytes, as text."""
         end = None if size is None else first + size
         return base64.b64encode(bytes(self.data[first:end])).decode()
 
@@ -96,29 +100,34 @@
 
     @property
     def spec(self) -> wire.JobSpec:
+        """What was submitted; only while the job is open."""
         assert self.record.spec is not None
         return self.record.spec
 
     @property
     def open(self) -> bool:
+        """Whether the job is neither done nor cancelled."""
         return self.record.stage == OPEN
 
     @property
     def chunked(self) -> bool:
+        """Whether its finished tasks are kept apart from its record."""
         return self.record.tasks > self.chunk
 
     @property
     def complete(self) -> bool:
+        """Whether every task is done, as far as this node knows."""
         return self.open and self.finished.count + len(self.local) >= self.record.tasks
 
     def is_finished(self, task: int) -> bool:
+        """Whether a task is done, durably or not yet."""
         return not self.open or task in self.finished or task in self.local
 
 
 Watcher = Callable[[Job, "Record | None"], None]
 
 
-class Book:
+class JobStore:
     """All jobs, followed from the store, and the loop that writes progress."""
 
     def __init__(
@@ -220,6 +229,7 @@
     # --- what the owner of a range says ----------------------------------
 
     def task_done(self, job: Job, task: int, urgent: bool) -> None:
+        """A worker has reported a task done."""
         if job.is_finished(task):
             return
         job.local.add(task)
@@ -265,6 +275,7 @@
             yield Write(f"pt/fin/{job.id}/{number}", encode(text))
 
     async def run(self) -> None:
+        """Write what is due, again and again."""
         while True:
             with trio.move_on_after(0.25):
                 await self.wake.wait()
--- a/pitchtally/control/machines.py
+++ b/pitchtally/control/machines.py
@@ -10,13 +10,14 @@
 from .jobs import Job
 
 # Answers without effect after which a machine is taken for one that hears nothing.
-UNHEEDED = 2
+MAX_UNACKNOWLEDGED = 2
 
 Need = tuple[float, float, float]
 Group = tuple[str, str, bool]  # type, zone, spot: machines alike but for their state
 
 
 def need_of(spec: wire.JobSpec) -> Need:
+    """What each task of a job takes of its machine."""
     return (spec.cpus, spec.gpus, spec.memory)
 
 
@@ -62,6 +63,8 @@
 
 
 class Machine:
+    """A machine as the owner of its part knows it."""
+
     __slots__ = (
         "address",
         "answered_at",
@@ -93,7 +96,7 @@
         "slow",
         "spot",
         "type",
-        "unheeded",
+        "unacknowledged",
         "used",
         "yielding",
         "zone",
@@ -136,9 +139,10 @@
         self.slow = 1.0
         self.reported = (0, -1)  # (session, seq) of the newest report, answers apart
         self.asked: list[wire.Order] = []  # whose effect the next report must show
-        self.unheeded = 0
+        self.unacknowledged = 0
 
     def free(self) -> Need:
+        """What no placement takes."""
         if self.kind is None:
             return (0.0, 0.0, 0.0)
         used, kind = self.used, self.kind
@@ -152,6 +156,7 @@
         return (a, b, c)
 
     def count(self, placement: Placement, sign: float) -> None:
+        """Add a placement to the sums, or take it off them."""
         by_rank = self.yielding[placement.rank]
         for i, amount in enumerate(placement.need):
             self.used[i] += sign * amount
@@ -163,20 +168,21 @@
 
     @property
     def usable(self) -> bool:
+        """Whether tasks may start on it."""
         return (
             self.confirmed
             and self.recorded
             and self.kind is not None
             and not self.drain
             and not self.lost
-            and not self.deaf
+            and not self.unresponsive
             and self.notice_at is None
         )
 
     @property
-    def deaf(self) -> bool:
+    def unresponsive(self) -> bool:
         """Its reports arrive, but what we say doesn't reach it."""
-        return self.unheeded >= UNHEEDED
+        return self.unacknowledged >= MAX_UNACKNOWLEDGED
 
 
 class Load:
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -19,9 +19,23 @@
 from .. import tokens, wire
 from ..http import Client, HttpError, Request, Response
 from ..policy import Policy
-from ..settings import Settings, host_port
+from ..settings import Settings
 from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
 from .evidence import NEVER, Answer, cancellations_known, owned_alone
+from .messages import (
+    Ack,
+    Cancellation,
+    Cancelled,
+    Forward,
+    Forwarded,
+    Heartbeat,
+    Message,
+    SplitAnswer,
+    SplitRequest,
+    decode,
+    encode,
+)
+from .peer import Peer
 
 log = logging.getLogger("members")
 
@@ -42,153 +56,23 @@
 
 
 class Owner(Struct, frozen=True):
+    """The record of a part: who owns it."""
+
     node: str
     incarnation: str
 
 
 class Node(Struct, frozen=True):
-    incarnation: str
-    deaf: bool = False  # reaches the store but not its machines
-
-
-# --- messages between our own processes: tagged tuples -----------------------
-
-
-class MachineNote(Struct, array_like=True):
-    """What peers and the leader need to know of one machine."""
-
-    name: str
-    type: str
-    zone: str
-    spot: bool
-    free: tuple[float, float, float]
-    yielding: tuple[float, float, float]  # held by work of the lowest rank
-    tasks: int
-    idle_for: float
-    flag: str  # "", "drain", "sick", "lost", "notice"
-    slow: float = 1.0
-    over: tuple[float, float, float] = (0.0, 0.0, 0.0)  # by teams beyond their guarantee
-
-
-class PartNote(Struct, array_like=True):
-    part: int
-    token: int
-    settled: bool
-    queued: float  # machine-seconds not started
-    stretch: float  # lowest over its machines
-    machines: list[MachineNote]
-    matrix: list[tuple[str, list[list[list[int]]]]] = []
-    waiting: dict[str, int] = {}  # job -> tasks not started
-    reserved: list[str] = []  # jobs that a machine is kept free for
-    running: dict[str, int] = {}  # job -> tasks running
-    kept: list[str] = []  # machines kept free
-    ready: list[str] = []  # gangs over several parts that have their room here
-    use: dict[str, tuple[float, float]] = {}  # team -> CPUs and GPUs in use here
-
-
-class Cancellation(Struct, array_like=True, frozen=True):
-    """A committed cancellation: all that a copy of the store needs to show it."""
+    """The record of a living node, bound to its lease."""
 
-    job: str
-    version: int  # of the job's record, as committed
-    tasks: int
-    done: int
-
-
-class Heartbeat(Struct, array_like=True, tag="heartbeat"):
-    """What a node knows, sent to each peer and given back as the answer."""
-
-    node: str
     incarnation: str
-    number: int  # orders the heartbeats of one incarnation
-    seen: int  # the revision that our copy of the store covers
-    store_age: float
-    sure_age: float  # since when cancellations may be unknown to the sender
-    cancellations: list[Cancellation]  # that the receiver's copy can't show yet
-    parts: list[PartNote]
-    released: list[str]
-    drain: list[str]
-    tokens: list[tuple[int, int]] = []  # the newest fencing token known of each part
-
-
-class Cancelled(Struct, array_like=True, tag="cancelled"):
-    cancellation: Cancellation
-
-
-class Forward(Struct, array_like=True, tag="forward"):
-    """A user's request, from a node that can't reach the store to one that can."""
-
-    method: str
-    path: str
-    body: bytes
-
-
-class Forwarded(Struct, array_like=True, tag="forwarded"):
-    status: int
-    body: bytes
-    retry_after: str
-
-
-class SplitRequest(Struct, array_like=True, tag="split"):
-    """A job that no part of its accepting controller keeps: the leader is to place it."""
-
-    spec: wire.JobSpec
-
-
-class SplitAnswer(Struct, array_like=True, tag="split_answer"):
-    """Where the leader places the job; no ranges if it can't tell yet."""
-
-    ranges: list[tuple[int, int, int]]  # (first task, end, part)
-    zone: str | None = None
-
-
-class Ack(Struct, array_like=True, tag="ack"):
-    pass
-
-
-Message = Heartbeat | Cancelled | Forward | Forwarded | SplitRequest | SplitAnswer | Ack
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
-
-
-class Peer:
-    def __init__(self, name: str, address: str):
-        self.name = name
-        self.address = host_port(address)
-        self.answer: Answer | None = None  # the newest to a heartbeat of ours
-        self.told_at = -1e9  # when it last had our notes, as it answered
-        self.failing = ""
-        self.incarnation = ""
-        self.since = -1e9  # when that was first heard of
-        self.number = -1  # of the newest heartbeat taken in
-        self.seen = -1  # the revision that its copy covers
-
-    @property
-    def heard_at(self) -> float:
-        """A question sent at this time was answered."""
-        return -1e9 if self.answer is None else self.answer.asked_at
-
-    def renews(self, beat: Heartbeat, asked_at: float | None, listed: str) -> bool:
-        """Whether a heartbeat is newer than all that were taken in, and takes it for that.
-
-        A cut may hold one back and deliver it after newer ones, of the next incarnation
-        too. Which of two incarnations is the later, the store can tell, or an answer to a
-        question that we asked when we knew of the other. Whatever is taken for the later
-        by mistake is put right by the next answer.
-        """
-        if beat.incarnation != self.incarnation:
-            asked = asked_at is not None and asked_at > self.since
-            if self.incarnation and not asked and beat.incarnation != listed:
-                return False
-            self.incarnation = beat.incarnation
-            self.since = trio.current_time()
-        elif beat.number <= self.number:
-            return False
-        self.number, self.seen = beat.number, beat.seen
-        return True
+    # Reaches the store but not its machines. Stored under the name of earlier versions.
+    workers_unreachable: bool = msgspec.field(default=False, name="deaf")
 
 
 class Members:
+    """Which nodes live, which parts they own, and what peers have told."""
+
     def __init__(self, settings: Settings, policy: Policy, store: Store, replica: Replica):
         self.settings = settings
         self.policy = policy
@@ -207,24 +91,24 @@
         }
         self.client = Client(keep=2)
         self.lease: int | None = None
-        self.deaf = False
+        self.workers_unreachable = False
         self.wake = trio.Event()
         self.held: dict[int, int] = {}  # part -> token, as announced to the slices
         self.started_at = trio.current_time()
         self._tick_at = self.started_at
-        self._stood_at = -1e9
+        self._resumed_at = -1e9
         self._sent = 0  # heartbeats
         # What was known for certain once stays so, also when whoever told it is gone.
-        self._sure_at = -1e9
-        self._owned_at = -1e9
+        self._cancellations_known_at = -1e9
+        self._ownership_known_at = -1e9
         # Filled in by the service.
         self.on_gain: Callable[[int, int], None] = lambda part, token: None
         self.on_loss: Callable[[int], None] = lambda part: None
         self.on_cancel: Callable[[Cancellation], None] = lambda cancellation: None
         self.on_forward: Callable[[Request], Awaitable[Response]]
         self.on_split: Callable[[wire.JobSpec], SplitAnswer] = lambda spec: SplitAnswer([])
-        self.on_beat: Callable[[Heartbeat], None] = lambda beat: None
-        self.fill_in: Callable[[Heartbeat, int], None] = lambda beat, seen: None
+        self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
+        self.fill_in: Callable[[Heartbeat, int], None] = lambda heartbeat, seen: None
         replica.listen("parts/", self._on_part)
         replica.listen("nodes/", self._on_node)
 
@@ -274,6 +158,7 @@
         return token if self.fences.get(part, 0) <= token else None
 
     def owner(self, part: int) -> str | None:
+        """The node that owns a part, as far as our copy shows."""
         found = self.owners.get(part)
         return found[0].node if found else None
 
@@ -288,31 +173,31 @@
             self.fences[part] = token
             self._announce(part)
 
-    def sure_at(self) -> float:
+    def cancellations_known_at(self) -> float:
         """Up to when no confirmed cancellation can be unknown to this node."""
         known = cancellations_known(self.replica.fresh_at, self._answers())
-        self._sure_at = max(self._sure_at, known)
-        return self._sure_at
+        self._cancellations_known_at = max(self._cancellations_known_at, known)
+        return self._cancellations_known_at
 
-    def owned_at(self) -> float:
+    def ownership_known_at(self) -> float:
         """Up to when nobody else can have renewed a machine of a part that we hold."""
         owned = owned_alone(self.replica.fresh_at, self._answers())
-        self._owned_at = max(self._owned_at, owned)
-        return self._owned_at
+        self._ownership_known_at = max(self._ownership_known_at, owned)
+        return self._ownership_known_at
 
     def _answers(self) -> list[Answer | None]:
         return [peer.answer for peer in self.peers.values()]
 
-    def sure_leader(self) -> int | None:
+    def confirmed_leader(self) -> int | None:
         """The leader's token, None as well if another may have taken the lead by now.
 
         The cloud knows no tokens: a leader that was cut off, or stood still, must not hire
         and release beside its successor.
         """
-        limit = max(trio.current_time() - self.policy.session_ttl, self.stood_at())
-        return self.leading if self.owned_at() >= limit else None
+        limit = max(trio.current_time() - self.policy.session_ttl, self.resumed_at())
+        return self.leading if self.ownership_known_at() >= limit else None
 
-    def stood_at(self) -> float:
+    def resumed_at(self) -> float:
         """When this process last went on after standing still.
 
         Its clocks ran on, and all its timers fire at once: nothing heard before counts as
@@ -320,34 +205,37 @@
         after a stand finds it, whatever the order in which loops go on.
         """
         now = trio.current_time()
-        if now - self._tick_at > self.policy.beat / 4 + self.policy.call_timeout:
-            log.info("stood still for=%.1f", now - self._tick_at)
-            self._stood_at = self._tick_at = now
-        return self._stood_at
+        if now - self._tick_at > self.policy.heartbeat_interval / 4 + self.policy.call_timeout:
+            log.info("process paused for=%.1f", now - self._tick_at)
+            self._resumed_at = self._tick_at = now
+        return self._resumed_at
 
-    async def run_clock(self) -> None:
+    async def run_pause_detector(self) -> None:
+        """Notice pauses of this process, also when nobody asks."""
         self._tick_at = trio.current_time()
         while True:
-            await trio.sleep(self.policy.beat / 4)
-            self.stood_at()
+            await trio.sleep(self.policy.heartbeat_interval / 4)
+            self.resumed_at()
             self._tick_at = trio.current_time()
 
     def may_start(self) -> bool:
         """Whether what is known of cancellations is recent enough to start tasks on.
 
-        Renewing a lease on older evidence is safe until `blind`, since a task that was
+        Renewing a lease on older evidence is safe until `max_evidence_age`, since a task that was
         cancelled meanwhile still ends in time. A start is not: users are told that no task
         of a cancelled job begins any more. After a session without any evidence a part has,
         or soon will have, another owner, and a start here would be wasted anyway.
         """
-        return trio.current_time() - self.sure_at() <= self.policy.session_ttl
+        return trio.current_time() - self.cancellations_known_at() <= self.policy.session_ttl
 
-    def blind(self) -> bool:
-        return trio.current_time() - self.sure_at() > self.policy.blind
+    def evidence_expired(self) -> bool:
+        """Whether a cancellation may be unknown to us for too long to renew leases."""
+        return trio.current_time() - self.cancellations_known_at() > self.policy.max_evidence_age
 
     # --- the store -------------------------------------------------------------
 
     async def run_lease(self) -> None:
+        """Keep this node's lease, and its record, in the store."""
         ttl = self.policy.session_ttl
         while True:
             try:
@@ -360,7 +248,7 @@
                     await trio.sleep(ttl / 20)
                     continue
                 node = self.alive.get(self.me)
-                if node is None or node != Node(self.incarnation, self.deaf):
+                if node is None or node != Node(self.incarnation, self.workers_unreachable):
                     await self._write_node(self.lease)
             except NoLease:
                 self.lease = None
@@ -378,30 +266,32 @@
     async def _write_node(self, lease: int) -> None:
         """Our record, conditional on the one before: a late write of ours changes nothing."""
         key = f"pt/nodes/{self.me}"
-        value = msgspec.json.encode(Node(self.incarnation, self.deaf))
+        value = msgspec.json.encode(Node(self.incarnation, self.workers_unreachable))
         changes = [Write(key, value, lease)]
         revision = await self.store.commit(
             {key: self.replica.version(key)}, changes, priority=tokens.LEASES
         )
         self.replica.own(changes, revision)
 
-    def set_deaf(self, deaf: bool) -> None:
-        if deaf != self.deaf:
-            self.deaf = deaf
-            log.info("machines %s", "can't be reached" if deaf else "can be reached again")
+    def set_workers_unreachable(self, unreachable: bool) -> None:
+        """Let others have our parts while our machines can't be reached."""
+        if unreachable != self.workers_unreachable:
+            self.workers_unreachable = unreachable
+            log.info("machines %s", "can't be reached" if unreachable else "can be reached again")
 
     def _wanted(self, part: int) -> str | None:
         order = preference(self.nodes, part)
-        for accept_deaf in (False, True):
+        for accept_unreachable in (False, True):
             for name in order:
                 node = self.alive.get(name)
-                if node is not None and (accept_deaf or not node.deaf):
+                if node is not None and (accept_unreachable or not node.workers_unreachable):
                     return name
         return None
 
     async def run_ownership(self) -> None:
+        """Take the parts that this node should own."""
         while True:
-            with trio.move_on_after(self.policy.beat):
+            with trio.move_on_after(self.policy.heartbeat_interval):
                 await self.wake.wait()
             self.wake = trio.Event()
             node = self.alive.get(self.me)
@@ -441,41 +331,43 @@
         """Our heartbeat for a peer whose copy of the store covers that revision."""
         self._sent += 1
         now = trio.current_time()
-        beat = Heartbeat(
+        heartbeat = Heartbeat(
             self.me,
             self.incarnation,
             self._sent,
             self.replica.seen,
             min(NEVER, now - self.replica.fresh_at),
-            min(NEVER, now - self.sure_at()),
+            min(NEVER, now - self.cancellations_known_at()),
             [],
             [],
             [],
             [],
         )
-        beat.tokens = [(part, token) for part, (_, token) in self.owners.items()]
-        self.fill_in(beat, seen)
-        return beat
+        heartbeat.tokens = [(part, token) for part, (_, token) in self.owners.items()]
+        self.fill_in(heartbeat, seen)
+        return heartbeat
 
-    async def run_beats(self, peer: Peer) -> None:
+    async def run_heartbeats(self, peer: Peer) -> None:
+        """Ask one peer what it knows, once per interval."""
         while True:
             sent = trio.current_time()
             reply = await self.send(peer, self.compose(peer.seen))
             if isinstance(reply, Heartbeat) and reply.node == peer.name:
-                self._take_beat(reply, sent)
+                self._take_heartbeat(reply, sent)
                 # Only now: what it tells is known here from this moment on.
                 peer.answer = Answer(sent, reply.store_age, reply.sure_age)
                 peer.told_at = sent
-            await trio.sleep(self.policy.beat)
+            await trio.sleep(self.policy.heartbeat_interval)
 
     async def send(self, peer: Peer, message: Message) -> Message | None:
+        """One message to a peer; its reply, or None without a usable one."""
         try:
             response = await self.client.call(
-                peer.address, "POST", "/peer", _encode(message), timeout=self.policy.call_timeout
+                peer.address, "POST", "/peer", encode(message), timeout=self.policy.call_timeout
             )
             if response.status != 200:
                 raise HttpError(f"status {response.status}")
-            reply: Message = _decode(response.body)
+            reply: Message = decode(response.body)
         except (HttpError, msgspec.MsgspecError) as error:
             self.client.drop(peer.address)
             if not peer.failing:
@@ -543,19 +435,23 @@
                 nursery.start_soon(self.send, peer, Cancelled(cancellation))
 
     async def serve(self, request: Request) -> Response:
+        """Answer a message of a peer."""
         try:
-            message: Message = _decode(request.body)
+            message: Message = decode(request.body)
         except msgspec.MsgspecError:
             return Response(400, b"")
         reply: Message = Ack()
         if isinstance(message, Heartbeat):
-            self._take_beat(message, None)
+            self._take_heartbeat(message, None)
             # What it asks rests on its own words, not on what we remember of it: the
             # answer holds every cancellation newer than the copy that it had as it asked.
             reply = self.compose(message.seen)
             peer = self.peers.get(message.node)
-            if peer is not None and trio.current_time() - peer.told_at < self.policy.beat * 1.5:
-                # Our own beats bring it our notes, by far the most of a message; where they
+            if (
+                peer is not None
+                and trio.current_time() - peer.told_at < self.policy.heartbeat_interval * 1.5
+            ):
+                # Our own heartbeats bring it our statuses, by far the most of a message; where they
                 # are refused, this answer must.
                 reply.parts = []
         elif isinstance(message, Cancelled):
@@ -565,20 +461,20 @@
         elif isinstance(message, Forward):
             found = await self.on_forward(Request(message.method, message.path, {}, message.body))
             reply = Forwarded(found.status, found.body, dict(found.headers).get("Retry-After", ""))
-        return Response(200, _encode(reply), type="application/msgpack")
+        return Response(200, encode(reply), type="application/msgpack")
 
-    def _take_beat(self, beat: Heartbeat, asked_at: float | None) -> None:
-        peer = self.peers.get(beat.node)
+    def _take_heartbeat(self, heartbeat: Heartbeat, asked_at: float | None) -> None:
+        peer = self.peers.get(heartbeat.node)
         if peer is None:
             return
         # Tokens and cancellations are committed: true however late they come.
-        for part, token in beat.tokens:
+        for part, token in heartbeat.tokens:
             mine = self.token(part)
             if mine is not None and token > mine:
                 # Our copy of the store is behind, or cut off from it.
                 self.fenced(part, token)
-        for cancellation in beat.cancellations:
+        for cancellation in heartbeat.cancellations:
             self.on_cancel(cancellation)
-        listed = self.alive.get(beat.node)
-        if peer.renews(beat, asked_at, listed.incarnation if listed else ""):
-            self.on_beat(beat)
+        listed = self.alive.get(heartbeat.node)
+        if peer.renews(heartbeat, asked_at, listed.incarnation if listed else ""):
+            self.on_heartbeat(heartbeat)
--- /dev/null
+++ b/pitchtally/control/messages.py
@@ -0,0 +1,134 @@
+"""Messages between our own processes: tagged tuples in MessagePack.
+
+Fields go by their order, so a field may be renamed but not moved; a new one comes last and
+has a default, which keeps messages readable between neighbouring versions.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+from msgspec import Struct
+
+from .. import wire
+
+
+class MachineFlag(StrEnum):
+    """Why a machine takes no work; the values are those of earlier versions."""
+
+    USABLE = ""
+    NEW = "new"  # not recorded yet, or of a type not known yet
+    LOST = "lost"  # silent, its lease is over
+    UNHEARD = "unheard"  # recorded, not heard since its part was taken over
+    UNRESPONSIVE = "deaf"  # it reports, but hears nothing of what it is told
+    NOTICE = "notice"  # the cloud is about to take it back
+    DRAINING = "drain"  # to be returned once it is empty
+    UNHEALTHY = "sick"  # tasks of several good jobs fail on it
+
+
+class MachineStatus(Struct, array_like=True):
+    """What peers and the leader need to know of one machine."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    free: tuple[float, float, float]
+    yielding: tuple[float, float, float]  # held by work of the lowest rank
+    tasks: int
+    idle_for: float
+    flag: str  # a `MachineFlag`, or one of a later version
+    slow: float = 1.0
+    over: tuple[float, float, float] = (0.0, 0.0, 0.0)  # by teams beyond their guarantee
+
+
+class PartStatus(Struct, array_like=True):
+    """What the owner of a part tells of it."""
+
+    part: int
+    token: int
+    settled: bool
+    queued: float  # machine-seconds not started
+    stretch: float  # lowest over its machines
+    machines: list[MachineStatus]
+    matrix: list[tuple[str, list[list[list[int]]]]] = []
+    waiting: dict[str, int] = {}  # job -> tasks not started
+    reserved: list[str] = []  # jobs that a machine is kept free for
+    running: dict[str, int] = {}  # job -> tasks running
+    kept: list[str] = []  # machines kept free
+    ready: list[str] = []  # gangs over several parts that have their room here
+    use: dict[str, tuple[float, float]] = {}  # team -> CPUs and GPUs in use here
+
+
+class Cancellation(Struct, array_like=True, frozen=True):
+    """A committed cancellation: all that a copy of the store needs to show it."""
+
+    job: str
+    version: int  # of the job's record, as committed
+    tasks: int
+    done: int
+
+
+class Heartbeat(Struct, array_like=True, tag="heartbeat"):
+    """What a node knows, sent to each peer and given back as the answer."""
+
+    node: str
+    incarnation: str
+    number: int  # orders the heartbeats of one incarnation
+    seen: int  # the revision that our copy of the store covers
+    store_age: float
+    sure_age: float  # since when cancellations may be unknown to the sender
+    cancellations: list[Cancellation]  # that the receiver's copy can't show yet
+    parts: list[PartStatus]
+    released: list[str]
+    drain: list[str]
+    tokens: list[tuple[int, int]] = []  # the newest fencing token known of each part
+
+
+class Cancelled(Struct, array_like=True, tag="cancelled"):
+    """A job was cancelled just now; sent once, for speed."""
+
+    cancellation: Cancellation
+
+
+class Forward(Struct, array_like=True, tag="forward"):
+    """A user's request, from a node that can't reach the store to one that can."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+class Forwarded(Struct, array_like=True, tag="forwarded"):
+    """A peer's answer to a user's request."""
+
+    status: int
+    body: bytes
+    retry_after: str
+
+
+class SplitRequest(Struct, array_like=True, tag="split"):
+    """A job that no part of its accepting controller keeps: the leader is to place it."""
+
+    spec: wire.JobSpec
+
+
+class SplitAnswer(Struct, array_like=True, tag="split_answer"):
+    """Where the leader places the job; no ranges if it can't tell yet."""
+
+    ranges: list[tuple[int, int, int]]  # (first task, end, part)
+    zone: str | None = None
+
+
+class Ack(Struct, array_like=True, tag="ack"):
+    """The message was taken in."""
+
+
+Message = Heartbeat | Cancelled | Forward | Forwarded | SplitRequest | SplitAnswer | Ack
+
+
+encode = msgspec.msgpack.Encoder().encode
+
+
+decode = msgspec.msgpack.Decoder(Message).decode
--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -12,10 +12,10 @@
 from .. import wire
 from ..settings import Objective
 from . import stretch
+from .capacity import whole
+from .component import SchedulerComponent
 from .holdings import Holding
 from .jobs import Job
-from .rooms import whole
-from .slice import Slice
 
 if TYPE_CHECKING:
     from .split import Split
@@ -32,7 +32,7 @@
 STRICT = 0.95
 
 
-class Order(Slice):
+class Order(SchedulerComponent):
     """Who comes first: stretch deadlines, ranks, guarantees, aims, and long waits."""
 
     def __init__(self, split: Split) -> None:
@@ -62,6 +62,7 @@
         return max(1.0, min(found, default=task * 3))
 
     def size(self, spec: wire.JobSpec) -> float:
+        """w of the paper: the whole size of a job, in task-seconds."""
         return spec.tasks * self.split.estimates.task(spec)
 
     def release(self, job: Job) -> float:
@@ -73,6 +74,7 @@
         return found
 
     def due(self, job: Job, level: float) -> float:
+        """When a job is due at a stretch, aims and lateness counted."""
         release = self.release(job)
         due = stretch.deadline(release, self.size(job.spec), level)
         return min(due, release + self.bound(job.spec)) + self.lateness(job, release)
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -9,16 +9,16 @@
 import trio
 
 from .. import wire
-from .blame import Standing, sick, standing
-from .holdings import Holding, PartWork
-from .jobs import DONE, Job, Record
-from .machines import Group, Machine, Placement
-from .rooms import (
+from .capacity import (
     allowed,
     fits,
     group_ok,
 )
-from .slice import Slice
+from .component import SchedulerComponent
+from .failure_attribution import Standing, is_unhealthy, standing
+from .holdings import Holding, PartWork
+from .jobs import DONE, Job, Record
+from .machines import Group, Machine, Placement
 
 if TYPE_CHECKING:
     from .split import Split
@@ -26,26 +26,29 @@
 log = logging.getLogger("parts")
 
 
-class Parts(Slice):
+class Parts(SchedulerComponent):
     """The parts we own: taken, loaded, settled, lost, and the tasks that each holds."""
 
     def __init__(self, split: Split) -> None:
         super().__init__(split)
         self.work: dict[int, PartWork] = {}
         self.recent: dict[tuple[object, ...], wire.JobSpec] = {}  # a job of each shape seen
-        self.book.watchers.append(self.on_job)
+        self.job_store.watchers.append(self.on_job)
 
     def gained(self, part: int) -> None:
+        """A part is ours; nothing of it is known yet."""
         self.work[part] = PartWork()
 
     def lost(self, part: int) -> None:
+        """A part is another node's."""
         self.work.pop(part, None)
-        self.split.notes.newest.pop(part, None)
+        self.split.statuses.newest.pop(part, None)
 
     def loaded(self, part: int) -> None:
+        """Our copy covers the takeover: jobs wait until their machines are heard."""
         work = self.work[part]
         work.loaded = True
-        for job in list(self.book.open.values()):
+        for job in list(self.job_store.open.values()):
             if any(p == part for _, _, p in job.record.ranges):
                 work.blocked.add(job.id)
 
@@ -57,7 +60,7 @@
         """
         work = self.work[part]
         for id in sorted(work.blocked):
-            job = self.book.jobs[id]
+            job = self.job_store.jobs[id]
             if any(self._may_be_on(job, group) for group in unheard):
                 continue
             work.blocked.discard(id)
@@ -91,13 +94,14 @@
         work = self.work[part]
         work.settled = True
         work.blocked.clear()
-        for job in list(self.book.open.values()):
+        for job in list(self.job_store.open.values()):
             self.hold(job, part)
         for id in sorted({placement.job.id for placement in work.early}):
             self._attach_early(work, id)
         self.split.wake.set()
 
     def on_job(self, job: Job, old: Record | None) -> None:
+        """A job's record has changed."""
         if not job.open:
             self.split.order.released.pop(job.id, None)
             for work in self.work.values():
@@ -122,6 +126,7 @@
         self.split.wake.set()
 
     def hold(self, job: Job, part: int) -> None:
+        """Bring what a part holds of a job up to its record."""
         work = self.work.get(part)
         if work is None:
             return  # lost while the write that changed the job was under way
@@ -166,11 +171,12 @@
         return True
 
     def done(self, placement: Placement, ran: float) -> None:
+        """A task of ours is done."""
         self.split.estimates.learn(placement.spec, ran)
         work = self.work.get(placement.machine.part)
         holding = work.holdings.get(placement.job.id) if work else None
         last = holding is not None and not holding.pool.count and len(holding.placed) <= 1
-        self.book.task_done(placement.job, placement.task, urgent=last)
+        self.job_store.task_done(placement.job, placement.task, urgent=last)
 
     def gone(self, placement: Placement, cause: str) -> None:
         """The task is on no machine any more: finished, or to be started again."""
@@ -225,7 +231,7 @@
             other = self.workers.machines.get(name)
             if other is not None and other.failed_jobs.pop(holding.job.id, None) is not None:
                 other.failed_at.pop(holding.job.id, None)
-                if other.resting_until > now and not self._is_sick(work, other):
+                if other.resting_until > now and not self._is_unhealthy(work, other):
                     other.resting_until = -1e9
 
     def weigh(self, holding: Holding) -> None:
@@ -243,11 +249,11 @@
             self.report_s * 2,
         )
 
-    def _is_sick(self, work: PartWork, machine: Machine) -> bool:
+    def _is_unhealthy(self, work: PartWork, machine: Machine) -> bool:
         jobs = {}
         failures = {}
         for id, count in machine.failed_jobs.items():
-            job, holding = self.book.jobs.get(id), work.holdings.get(id)
+            job, holding = self.job_store.jobs.get(id), work.holdings.get(id)
             if job is None or (not job.open and job.record.stage != DONE):
                 continue  # its user has cancelled it, as one does with a mistake
             failures[id] = count
@@ -256,10 +262,10 @@
             else:
                 done = not job.open or bool(job.finished.count or job.local)
                 jobs[id] = Standing.GOOD if done else Standing.UNKNOWN
-        return sick(failures, jobs)
+        return is_unhealthy(failures, jobs)
 
     def _judge(self, work: PartWork, machine: Machine) -> None:
-        if not self._is_sick(work, machine):
+        if not self._is_unhealthy(work, machine):
             return
         now = trio.current_time()
         if machine.resting_until < now:
@@ -269,9 +275,10 @@
                 len(machine.failed_jobs),
                 machine.errors,
             )
-        machine.resting_until = now + self.policy.sick_rest
+        machine.resting_until = now + self.policy.unhealthy_rest
 
     def machine_ok(self, holding: Holding, machine: Machine) -> bool:
+        """Whether a machine may run tasks of the job."""
         kind = machine.kind
         if kind is None:
             return False
@@ -289,11 +296,12 @@
                 holding.failed_on.get(machine.name, -1e9),
                 machine.failed_at.get(holding.job.id, -1e9),
             )
-            if trio.current_time() - at < self.policy.sick_rest:
+            if trio.current_time() - at < self.policy.unhealthy_rest:
                 return False
         return not holding.one_zone or holding.job.record.zone == machine.zone
 
     def ready(self, work: PartWork, id: str, holding: Holding, now: float) -> bool:
+        """Whether tasks of the job may start at all now."""
         return (
             holding.pool.count > 0
             and not holding.moving
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -4,28 +4,26 @@
 
 import logging
 import math
-from typing import TYPE_CHECKING
 
 import trio
 
 from .. import wire
 from . import stretch
-from .holdings import Crowd, Holding, PartWork
-from .machines import Group, Machine, Placement, need_of
-from .rooms import (
+from .capacity import (
     fits,
     share_of,
     times,
 )
-from .slice import Slice
-
-if TYPE_CHECKING:
-    pass
+from .component import SchedulerComponent
+from .holdings import Holding, MachineGroup, PartWork
+from .machines import Group, Machine, Need, Placement, need_of
 
 log = logging.getLogger("placing")
 
+LEVEL_TOLERANCE = 0.05  # of the least stretch of a queue, relative
+
 
-class Placing(Slice):
+class Placing(SchedulerComponent):
     """Within a part: tasks allotted to queues, started on machines, moved off in time."""
 
     def work(self, spec: wire.JobSpec, kind: wire.MachineType) -> float:
@@ -43,6 +41,22 @@
         """
         work = self.split.parts.work[part]
         now = trio.current_time()
+        left = self._renew_holdings(work)
+        work.machine_groups = {}
+        work.running = [0] * len(wire.RANKS)
+        for machine in self.workers.of_part(part):
+            self._add_to_group(work, machine, now)
+        self._add_loads(work, part, left, now)
+        for group in [g for g in work.queues if g not in work.machine_groups]:
+            del work.queues[group]
+        for group, queue in work.queues.items():
+            for id, count in queue.items():
+                if count and id in work.holdings:
+                    self._queued(work, group, id, count)
+        self._renew_levels(work, now)
+
+    def _renew_holdings(self, work: PartWork) -> dict[str, float]:
+        """Seconds that a task of each job takes; what waiting tasks need at the least."""
         left: dict[str, float] = {}
         least = (math.inf, math.inf)
         for id, holding in work.holdings.items():
@@ -52,62 +66,63 @@
             if holding.pool.count and not holding.gang:
                 least = (min(least[0], holding.need[0]), min(least[1], holding.need[2]))
         work.least = least
-        work.crowds = {}
-        work.running = [0] * len(wire.RANKS)
-        for machine in self.workers.of_part(part):
-            usable = machine.usable
-            if not usable:
-                for placement in list(machine.placements.values()):
-                    if not placement.sent_seq and not placement.seen:
-                        # Chosen before the machine fell out of use: it is nowhere yet.
-                        self.workers.stop(placement, 0.0)
-            if not usable or machine.resting_until >= now or machine.kind is None:
-                continue
-            crowd = work.crowds.get(machine.group)
-            if crowd is None:
-                crowd = work.crowds[machine.group] = Crowd(machine.kind)
-            crowd.machines.append(machine)
+        return left
+
+    def _add_to_group(self, work: PartWork, machine: Machine, now: float) -> None:
+        usable = machine.usable
+        if not usable:
+            for placement in list(machine.placements.values()):
+                if not placement.sent_seq and not placement.seen:
+                    # Chosen before the machine fell out of use: it is nowhere yet.
+                    self.workers.stop(placement, 0.0)
+        if not usable or machine.resting_until >= now or machine.kind is None:
+            return
+        machine_group = work.machine_groups.get(machine.group)
+        if machine_group is None:
+            machine_group = work.machine_groups[machine.group] = MachineGroup(machine.kind)
+        machine_group.machines.append(machine)
+
+    def _add_loads(self, work: PartWork, part: int, left: dict[str, float], now: float) -> None:
         for group, jobs in self.workers.loads.get(part, {}).items():
-            crowd = work.crowds.get(group)
+            machine_group = work.machine_groups.get(group)
             for id, load in jobs.items():
                 work.running[load.rank] += load.count
                 seconds = left.get(id)
-                if crowd is None or seconds is None:
+                if machine_group is None or seconds is None:
                     continue
                 # What stands on machines out of use is in it: they are few, and their
                 # tasks will want room again.
-                crowd.work[id] = load.left(seconds, now) * share_of(load.need, crowd.kind)
-                crowd.ranks[id] = load.rank
-        for group in [g for g in work.queues if g not in work.crowds]:
-            del work.queues[group]
-        for group, queue in work.queues.items():
-            for id, count in queue.items():
-                if count and id in work.holdings:
-                    self._queued(work, group, id, count)
-        for group, crowd in work.crowds.items():
-            at, crowd.level = work.levelled.get(group, (-math.inf, 0.0))
+                share = share_of(load.need, machine_group.kind)
+                machine_group.work[id] = load.left(seconds, now) * share
+                machine_group.ranks[id] = load.rank
+
+    def _renew_levels(self, work: PartWork, now: float) -> None:
+        for group, machine_group in work.machine_groups.items():
+            at, machine_group.level = work.known_levels.get(group, (-math.inf, 0.0))
             if now - at < self.report_s:
                 continue  # it moves with the queue, not with each task
-            crowd.level = max(
-                stretch.least_stretch(self.queue(work, crowd, len(wire.RANKS)), now, 0.05),
-                self.split.stretches[0],
+            queue = self.queue(work, machine_group, len(wire.RANKS))
+            machine_group.level = max(
+                stretch.least_stretch(queue, now, LEVEL_TOLERANCE), self.split.stretches[0]
             )
-            work.levelled[group] = (now, crowd.level)
+            work.known_levels[group] = (now, machine_group.level)
 
     def _queued(self, work: PartWork, group: Group, id: str, count: int) -> None:
-        crowd, holding = work.crowds[group], work.holdings[id]
-        amount = count * self.work(holding.spec, crowd.kind)
-        crowd.work[id] = crowd.work.get(id, 0.0) + amount
-        crowd.ranks[id] = holding.rank
+        machine_group, holding = work.machine_groups[group], work.holdings[id]
+        amount = count * self.work(holding.spec, machine_group.kind)
+        machine_group.work[id] = machine_group.work.get(id, 0.0) + amount
+        machine_group.ranks[id] = holding.rank
 
-    def queue(self, work: PartWork, crowd: Crowd, rank: int) -> list[stretch.Entry]:
+    def queue(self, work: PartWork, machine_group: MachineGroup, rank: int) -> list[stretch.Entry]:
         """The queue of one of these machines as a job of that rank meets it: lower yield."""
         out = []
-        for id, amount in crowd.work.items():
+        for id, amount in machine_group.work.items():
             holding = work.holdings.get(id)
-            if holding is not None and crowd.ranks[id] <= rank:
+            if holding is not None and machine_group.ranks[id] <= rank:
                 out.append(
-                    stretch.Entry(holding.release, holding.size, amount / len(crowd.machines))
+                    stretch.Entry(
+                        holding.release, holding.size, amount / len(machine_group.machines)
+                    )
                 )
         return out
 
@@ -131,15 +146,15 @@
                 continue  # a few given back since: they start from the pool all the same
             holding.allotted_at = now
             able = [
-                (group, crowd)
-                for group, crowd in work.crowds.items()
-                if any(self.split.parts.machine_ok(holding, m) for m in crowd.machines)
+                (group, machine_group)
+                for group, machine_group in work.machine_groups.items()
+                if any(self.split.parts.machine_ok(holding, m) for m in machine_group.machines)
             ]
             if not able:
                 continue
-            queues = [self.queue(work, crowd, holding.rank) for _, crowd in able]
-            costs = [self.work(holding.spec, crowd.kind) for _, crowd in able]
-            like = [len(crowd.machines) for _, crowd in able]
+            queues = [self.queue(work, machine_group, holding.rank) for _, machine_group in able]
+            costs = [self.work(holding.spec, machine_group.kind) for _, machine_group in able]
+            like = [len(machine_group.machines) for _, machine_group in able]
 
             found = self._least_counts(queues, costs, like, holding.release, holding.size, more)
             # Beyond the largest sample nothing is promised: spread by what there is.
@@ -202,21 +217,30 @@
             return
         if min(room[0], room[2]) <= 1e-6:
             return
-        reserved = machine.reserved
-        if reserved is not None:
-            kept = work.holdings.get(reserved[0])
-            if reserved[1] < now or kept is None or not kept.pool.count:
-                machine.reserved = reserved = None
+        for id in self._startable(work, machine, room, now):
+            holding = work.holdings[id]
+            count = self._most_to_start(work, holding, machine, room, now)
+            need = holding.need
+            for _ in range(count):
+                self.place(holding, holding.pool.pop(), machine, self.attempt(machine.part))
+                room = (room[0] - need[0], room[1] - need[1], room[2] - need[2])
+                self._take_from_queue(work, machine.group, id)
+            if count > 0:
+                self._has_started(holding, machine, count)
+
+    def _startable(self, work: PartWork, machine: Machine, room: Need, now: float) -> list[str]:
+        """Arrays of which a task could start on the machine, in the order of starts."""
+        kept = self._kept_for(work, machine, now)
         own = work.queues.get(machine.group, {})
-        crowd = work.crowds.get(machine.group)
-        level = crowd.level if crowd is not None else self.split.stretches[0]
+        machine_group = work.machine_groups.get(machine.group)
+        level = machine_group.level if machine_group is not None else self.split.stretches[0]
         rows = []
         for id, holding in work.holdings.items():
             if not holding.pool.count or holding.gang:
                 continue
             if not fits(holding.need, room) or not self.split.parts.ready(work, id, holding, now):
                 continue
-            if reserved is not None and id != reserved[0]:
+            if kept is not None and id != kept:
                 continue
             if not self.split.parts.machine_ok(holding, machine):
                 continue
@@ -225,36 +249,49 @@
             if spec.image and spec.image not in machine.images and machine.kind is not None:
                 due += spec.image_gb / max(machine.kind.fetch_rate, 1e-3)
             rows.append((rank, over, due, not own.get(id, 0), id))
-        for _, _, _, _, id in sorted(rows):
-            holding = work.holdings[id]
-            spec, need = holding.spec, holding.need
-            limit = min(times(need, room), holding.pool.count)
-            if limit:
-                limit = min(limit, self.split.teams.room(machine.part, spec))
-            if limit and not holding.aged:
-                better = self._better_room(work, holding, machine, now)
-                limit = min(limit, holding.pool.count - better)
-            if holding.aged:
-                limit = min(limit, 1)
-            if holding.faulty:
-                # One task at a time tells whether it still fails.
-                limit = min(limit, 1 - len(holding.placed))
-            if spec.spread and spec.tasks > 1 and limit:
-                inside = sum(1 for p in holding.placed.values() if p.machine.zone == machine.zone)
-                limit = min(limit, (spec.tasks + 1) // 2 - inside)
-            for _ in range(limit):
-                self.place(holding, holding.pool.pop(), machine, self.attempt(machine.part))
-                room = (room[0] - need[0], room[1] - need[1], room[2] - need[2])
-                self._take_from_queue(work, machine.group, id)
-            if limit > 0:
-                for group in holding.better:
-                    holding.better[group] = max(0, holding.better[group] - limit)
-                if holding.aged:
-                    holding.aged = False  # it has begun: others' turn
-                    if machine.reserved and machine.reserved[0] == id:
-                        machine.reserved = None
-                if not holding.pool.count:
-                    machine.reserved = None
+        return [row[-1] for row in sorted(rows)]
+
+    def _kept_for(self, work: PartWork, machine: Machine, now: float) -> str | None:
+        """The job that the machine's room is kept for, if it still waits for it."""
+        if machine.reserved is None:
+            return None
+        id, until = machine.reserved
+        holding = work.holdings.get(id)
+        if until < now or holding is None or not holding.pool.count:
+            machine.reserved = None
+            return None
+        return id
+
+    def _most_to_start(
+        self, work: PartWork, holding: Holding, machine: Machine, room: Need, now: float
+    ) -> int:
+        """How many tasks of an array may start on a machine with this room."""
+        spec = holding.spec
+        limit = min(times(holding.need, room), holding.pool.count)
+        if limit:
+            limit = min(limit, self.split.teams.tasks_within_limit(machine.part, spec))
+        if limit and not holding.aged:
+            better = self._better_room(work, holding, machine, now)
+            limit = min(limit, holding.pool.count - better)
+        if holding.aged:
+            limit = min(limit, 1)
+        if holding.faulty:
+            # One task at a time tells whether it still fails.
+            limit = min(limit, 1 - len(holding.placed))
+        if spec.spread and spec.tasks > 1 and limit:
+            inside = sum(1 for p in holding.placed.values() if p.machine.zone == machine.zone)
+            limit = min(limit, (spec.tasks + 1) // 2 - inside)
+        return limit
+
+    def _has_started(self, holding: Holding, machine: Machine, count: int) -> None:
+        for group in holding.better:
+            holding.better[group] = max(0, holding.better[group] - count)
+        if holding.aged:
+            holding.aged = False  # it has begun: others' turn
+            if machine.reserved and machine.reserved[0] == holding.job.id:
+                machine.reserved = None
+        if not holding.pool.count:
+            machine.reserved = None
 
     def _better_room(self, work: PartWork, holding: Holding, machine: Machine, now: float) -> int:
         """Tasks of this job that machines of its part with less to lose have room for.
@@ -270,14 +307,14 @@
             return found
         cost = self.cost(spec, machine)
         room = 0
-        for group, crowd in work.crowds.items():
-            theirs = self.cost(spec, crowd.machines[0])
+        for group, machine_group in work.machine_groups.items():
+            theirs = self.cost(spec, machine_group.machines[0])
             # Between machines as dear as one another, an idle one is left alone so
             # that it can go back, while busy ones have room.
             alike = not machine.placements and theirs < cost * 1.2
             if (theirs >= cost * 0.8 and not alike) or not holding.groups.get(group, True):
                 continue
-            for other in crowd.machines:
+            for other in machine_group.machines:
                 if other is machine or not other.usable or other.resting_until >= now:
                     continue
                 if theirs >= cost * 0.8 and not other.placements:
@@ -315,9 +352,11 @@
             longest[id] -= 1
 
     def attempt(self, part: int) -> int:
+        """A number for the next start, never used before by anyone."""
         return self.workers.parts[part].attempt()
 
     def place(self, holding: Holding, task: int, machine: Machine, attempt: int) -> None:
+        """Give a task its place on a machine; the next report starts it."""
         placement = Placement(holding.job, task, attempt, machine)
         holding.placed[task] = placement
         self.workers.put(placement)
--- a/pitchtally/control/preemption.py
+++ b/pitchtally/control/preemption.py
@@ -4,21 +4,18 @@
 
 import logging
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import trio
 
 from .. import wire
-from .holdings import Holding, PartWork
-from .machines import Machine, Placement
-from .rooms import (
+from .capacity import (
     fits,
     is_gang,
 )
-from .slice import Slice
-
-if TYPE_CHECKING:
-    pass
+from .component import SchedulerComponent
+from .holdings import Holding, PartWork
+from .machines import Machine, Placement
 
 log = logging.getLogger("preemption")
 
@@ -36,7 +33,7 @@
 _PREEMPT = 8
 
 
-class Preemption(Slice):
+class Preemption(SchedulerComponent):
     """Stopping work that yields: lower ranks, and teams beyond their guarantee."""
 
     def preempt(self, part: int) -> None:
@@ -46,69 +43,76 @@
         rows = []
         beyond = [t for t in self.split.teams.known if self.split.teams.over_guarantee(t)]
         for id, holding in work.holdings.items():
-            if not holding.pool.count or not self.split.parts.ready(work, id, holding, now):
-                continue
-            if now - holding.since < self.policy.preempt_after and not holding.gang:
+            if not self._may_preempt(work, holding, now):
                 continue
             spec = holding.spec
-            if holding.gang and (
-                holding.placed
-                or (holding.job.record.attempt and holding.tried == holding.job.record.attempt)
-            ):
-                continue
             under = self.split.teams.under(spec)
             if not sum(work.running[holding.rank + 1 :]) and not (
                 under and any(team != spec.team for team in beyond)
             ):
                 continue  # nothing here yields to it
-            if self.split.teams.room(part, spec) < (spec.tasks if holding.gang else 1):
+            at_once = spec.tasks if holding.gang else 1
+            if self.split.teams.tasks_within_limit(part, spec) < at_once:
                 continue
-            rows.append(
-                (
-                    holding.rank,
-                    not under,
-                    self.split.order.due_of(holding, self.split.stretches[-1]),
-                    id,
-                )
-            )
-        for rank, over, _, id in sorted(rows)[:_PREEMPT]:
-            holding = work.holdings[id]
-            spec = holding.spec
+            due = self.split.order.due_of(holding, self.split.stretches[-1])
+            rows.append((holding.rank, not under, due, id))
+        for _, over, _, id in sorted(rows)[:_PREEMPT]:
             if self.split.gangs.kept_for(part, id):
                 continue
-            wanted = holding.pool.count
-            steps = self._steps(holding, part, rank, not over, now)
-            if not holding.gang:
-                # Where room is free already the next report starts them.
-                wanted -= sum(1 for step in steps if not step.victims)
-            chosen: list[Step] = []
-            zones: dict[str, int] = {}
-            caps = {zone: cap for p, zone, cap in holding.job.record.caps if p == part}
-            for step in steps:
-                zone = step.machine.zone
-                if len(chosen) >= wanted or zones.get(zone, 0) >= caps.get(zone, wanted):
-                    continue
-                if not holding.gang and not step.victims:
-                    continue
-                zones[zone] = zones.get(zone, 0) + 1
-                chosen.append(step)
-            if holding.gang and len(chosen) < wanted:
-                continue  # stopping some would gain nothing
-            victims = [v for step in chosen for v in step.victims]
-            if not victims:
+            holding = work.holdings[id]
+            chosen = self._choose(holding, self._steps(holding, part, holding.rank, not over, now))
+            if any(step.victims for step in chosen):
+                self._stop_for(work, holding, chosen, now)
+
+    def _may_preempt(self, work: PartWork, holding: Holding, now: float) -> bool:
+        """Whether a job waits in vain, and for long enough."""
+        if not holding.pool.count:
+            return False
+        if not self.split.parts.ready(work, holding.job.id, holding, now):
+            return False
+        if not holding.gang:
+            return now - holding.since >= self.policy.preempt_after
+        attempt = holding.job.record.attempt
+        return not (holding.placed or (attempt and holding.tried == attempt))
+
+    @staticmethod
+    def _choose(holding: Holding, steps: list[Step]) -> list[Step]:
+        """The cheapest steps that serve the job; none for a gang that would stay too small."""
+        wanted = holding.pool.count
+        if not holding.gang:
+            # Where room is free already the next report starts them.
+            wanted -= sum(1 for step in steps if not step.victims)
+        chosen: list[Step] = []
+        zones: dict[str, int] = {}
+        caps = {zone: cap for p, zone, cap in holding.job.record.caps if p == holding.part}
+        for step in steps:
+            zone = step.machine.zone
+            if len(chosen) >= wanted or zones.get(zone, 0) >= caps.get(zone, wanted):
+                continue
+            if not holding.gang and not step.victims:
                 continue
-            for victim in victims:
-                for each in self.with_gang(work, victim):
-                    self.workers.stop(each, each.spec.save)
-            grace = max((v.spec.save for v in victims), default=0.0)
-            for step in chosen:
-                step.machine.reserved = (id, now + grace + self.report_s * 3)
-            log.info(
-                "preempted for=%s machines=%d tasks=%d",
-                id,
-                len({c.machine.name for c in chosen}),
-                len(victims),
-            )
+            zones[zone] = zones.get(zone, 0) + 1
+            chosen.append(step)
+        if holding.gang and len(chosen) < wanted:
+            return []  # stopping some would gain nothing
+        return chosen
+
+    def _stop_for(self, work: PartWork, holding: Holding, chosen: list[Step], now: float) -> None:
+        """Stop what yields, and keep the room for the job until it starts."""
+        victims = [victim for step in chosen for victim in step.victims]
+        for victim in victims:
+            for each in self.with_gang(work, victim):
+                self.workers.stop(each, each.spec.save)
+        grace = max(victim.spec.save for victim in victims)
+        id = holding.job.id
+        for step in chosen:
+            step.machine.reserved = (id, now + grace + self.report_s * 3)
+        log.info(
+            "preempted for=%s machines=%d tasks=%d",
+            id,
+            len({step.machine.name for step in chosen}),
+            len(victims),
+        )
 
     def _steps(self, holding: Holding, part: int, rank: int, under: bool, now: float) -> list[Step]:
         """What makes room for one more task each, cheapest first; nothing where it is free."""
@@ -178,6 +182,7 @@
         return placement.job.record.attempt != 0
 
     def with_gang(self, work: PartWork, victim: Placement) -> Iterable[Placement]:
+        """What has to stop with a placement: its whole gang, if it has one."""
         holding = work.holdings.get(victim.job.id)
         if victim.spec.kind == wire.GANG and holding is not None:
             return list(holding.placed.values())
--- a/pitchtally/control/levelling.py
+++ b/pitchtally/control/rebalancing.py
@@ -10,44 +10,48 @@
 
 from .. import wire
 from ..store import StoreDown
-from .gangs import RANGES
-from .holdings import Holding
-from .jobs import merge
-from .members import PartNote
-from .rooms import (
+from .capacity import (
     RANK,
     group_ok,
     whole,
 )
-from .slice import Slice
+from .component import SchedulerComponent
+from .gangs import RANGES
+from .holdings import Holding
+from .jobs import merge
+from .messages import MachineFlag, PartStatus
 
 if TYPE_CHECKING:
     from .split import Split
 
-log = logging.getLogger("levelling")
+log = logging.getLogger("rebalancing")
 
 
-# Waiting jobs that a part offers to others between two notes from them.
+# Waiting jobs that a part offers to others between two statuses from them.
 _BALANCE = 24
+# A task that has waited for less may still start with the next report.
+LEAST_WAIT_S = 0.5
+# Machines that take work now or very soon.
+ABLE_FLAGS = frozenset({MachineFlag.USABLE, MachineFlag.NEW})
 
 
-class Levelling(Slice):
+class Rebalancing(SchedulerComponent):
     """Parts give unstarted tasks to parts that start them sooner."""
 
     def __init__(self, split: Split) -> None:
         super().__init__(split)
-        self.levelled_at = -1e9
+        self.evened_out_at = -1e9
         self.balanced_at = -1e9
 
     async def rebalance(self) -> None:
         """Give unstarted tasks to a part that could start them now and has none queued."""
         now = trio.current_time()
-        if now - self.balanced_at < self.policy.beat:
-            return  # peers' notes are no newer
+        if now - self.balanced_at < self.policy.heartbeat_interval:
+            return  # peers' statuses are no newer
         self.balanced_at = now
         for part, work in list(self.split.parts.work.items()):
-            note = self.split.notes.newest.get(part)
-            if note is None or not work.settled:
+            status = self.split.statuses.newest.get(part)
+            if status is None or not work.settled:
                 continue
             rows = [
                 (h.rank, h.release, id)
@@ -55,7 +59,7 @@
                 if h.pool.count
                 and not h.faulty
                 and self.split.parts.ready(work, id, h, now)
-                and now - h.since >= 0.5
+                and now - h.since >= LEAST_WAIT_S
             ]
             for _, _, id in sorted(rows)[:_BALANCE]:
                 if self.split.parts.work.get(part) is not work:
@@ -63,54 +67,63 @@
                 holding = work.holdings.get(id)
                 if holding is None or not self.split.parts.ready(work, id, holding, now):
                     continue
-                spec = holding.job.spec
-                waiting = holding.pool.count
-                if whole(spec) and (
-                    holding.placed or waiting < spec.tasks or holding.job.record.attempt
-                ):
-                    continue
-                if spec.tasks > 1 and spec.one_zone:
-                    continue  # its zone is fixed: it goes back to the leader instead
-                here = self.split.notes.room(note, spec, yielding=False)
-                if not whole(spec):
-                    here = min(here, self.split.teams.room(part, spec))
-                elif id in note.reserved:
-                    continue
-                # A whole job stays where it has room: share comes to it. Sent after
-                # share, it would be in another part each time that share arrives.
-                if here >= waiting or len(holding.job.record.ranges) > RANGES:
-                    continue
-                for other in self.split.notes.newest.values():
-                    if other.part == part or not other.settled:
-                        continue
-                    there = self.split.notes.room(other, spec, yielding=False)
-                    if not whole(spec):
-                        there -= sum(
-                            n for j, n in other.waiting.items() if self.share_ratio(spec, j) > 0
-                        )
-                    debt = sum(1 for _ in self.split.notes.debts.get(other.part, ()))
-                    count = min(there, waiting - here)
-                    if whole(spec):
-                        count = spec.tasks if there - debt >= spec.tasks else 0
-                    elif debt:
-                        count = 0
-                    if count > 0:
-                        await self._give(holding, other.part, count)
-                        break
-
-    async def level(self) -> None:
+                if self._may_move(holding):
+                    await self._move_where_free(holding, status)
+
+    @staticmethod
+    def _may_move(holding: Holding) -> bool:
+        spec, record = holding.job.spec, holding.job.record
+        if spec.tasks > 1 and spec.one_zone:
+            return False  # its zone is fixed: it goes back to the leader instead
+        if len(record.ranges) > RANGES:
+            return False
+        begun = holding.placed or holding.pool.count < spec.tasks or record.attempt
+        return not (whole(spec) and begun)
+
+    async def _move_where_free(self, holding: Holding, status: PartStatus) -> None:
+        """Give the tasks that find no room here to the first part that has some."""
+        spec, waiting = holding.job.spec, holding.pool.count
+        here = self.split.statuses.free_capacity(status, spec, yielding=False)
+        if not whole(spec):
+            here = min(here, self.split.teams.tasks_within_limit(holding.part, spec))
+        elif holding.job.id in status.reserved:
+            return
+        # A whole job stays where it has room: share comes to it. Sent after
+        # share, it would be in another part each time that share arrives.
+        if here >= waiting:
+            return
+        for other in self.split.statuses.newest.values():
+            if other.part == holding.part or not other.settled:
+                continue
+            count = self._movable(spec, other, waiting - here)
+            if count > 0:
+                await self._give(holding, other.part, count)
+                return
+
+    def _movable(self, spec: wire.JobSpec, other: PartStatus, most: int) -> int:
+        """How many tasks another part can start now, as far as its status tells."""
+        there = self.split.statuses.free_capacity(other, spec, yielding=False)
+        sent = len(self.split.statuses.unreported.get(other.part, ()))
+        if whole(spec):
+            return spec.tasks if there - sent >= spec.tasks else 0
+        if sent:
+            return 0
+        there -= sum(n for j, n in other.waiting.items() if self.share_ratio(spec, j) > 0)
+        return min(there, most)
+
+    async def even_out(self) -> None:
         """Even out the parts' queues: the design's idle machines, one level up.
 
         A part splits a job by what its machines promised on arrival; boots, lost
         machines and wrong estimates change that while the tasks still wait.
         """
         now = trio.current_time()
-        if now - self.levelled_at < self.policy.beat:
+        if now - self.evened_out_at < self.policy.heartbeat_interval:
             return
-        self.levelled_at = now
+        self.evened_out_at = now
         for part, work in list(self.split.parts.work.items()):
-            note = self.split.notes.newest.get(part)
-            if note is None or not work.settled:
+            status = self.split.statuses.newest.get(part)
+            if status is None or not work.settled:
                 continue
             rows = [
                 (h.pool.count * h.job.spec.cpus, id)
@@ -123,13 +136,13 @@
             for _, id in sorted(rows, reverse=True)[:2]:
                 holding = work.holdings[id]
                 spec = holding.job.spec
-                here, width = self.drain_time(note, spec)
+                here, width = self.drain_time(status, spec)
                 best: tuple[float, int] | None = None
-                for other in self.split.notes.newest.values():
+                for other in self.split.statuses.newest.values():
                     if (
                         other.part == part
                         or not other.settled
-                        or other.part in self.split.notes.debts
+                        or other.part in self.split.statuses.unreported
                     ):
                         continue
                     there, _ = self.drain_time(other, spec)
@@ -146,7 +159,7 @@
                     await self._give(holding, best[1], count)
                     break
 
-    def drain_time(self, note: PartNote, spec: wire.JobSpec) -> tuple[float, float]:
+    def drain_time(self, status: PartStatus, spec: wire.JobSpec) -> tuple[float, float]:
         """Seconds that a part needs for what waits there ahead of such a job, and its width.
 
         Counted in cards for jobs that take cards, else in CPUs, over the machines
@@ -154,16 +167,20 @@
         """
         cards = spec.gpus > 0
         width = 0.0
-        for (type_, zone, spot), machines in self.split.notes.groups_of(note).items():
+        for (type_, zone, spot), machines in self.split.statuses.groups_of(status).items():
             kind = self.types().get(type_)
             if kind is not None and group_ok(spec, kind, zone, spot):
-                able = sum(1 for machine in machines if machine.flag in ("", "new"))
+                able = sum(
+                    1
+                    for machine in machines
+                    if machine.flag in (MachineFlag.USABLE, MachineFlag.NEW)
+                )
                 width += able * (kind.gpus if cards else kind.cpus)
         if not width:
             return math.inf, 0.0
         work = 0.0
-        for id, count in note.waiting.items():
-            job = self.book.open.get(id)
+        for id, count in status.waiting.items():
+            job = self.job_store.open.get(id)
             if job is None or RANK[job.spec.rank] > RANK[spec.rank]:
                 continue
             amount = job.spec.gpus if cards else job.spec.cpus
@@ -191,7 +208,7 @@
                     a = y
                 ranges.append((a, b, part))
             if await self.split.write_ranges(job, {f"pt/parts/{part}": token}, merge(ranges)):
-                self.split.notes.owe(to, job.spec, count)
+                self.split.statuses.record_allocation(to, job.spec, count)
                 log.debug("gave job=%s tasks=%d from=%d to=%d", job.id, count, part, to)
         except StoreDown as error:
             # Perhaps it was done, or will be: until it can't, the tasks start nowhere.
@@ -203,7 +220,7 @@
 
     def share_ratio(self, spec: wire.JobSpec, other: str) -> float:
         """How much a waiting task of another job stands in this one's way."""
-        job = self.book.open.get(other)
+        job = self.job_store.open.get(other)
         if job is None or RANK[job.spec.rank] > RANK[spec.rank]:
             return 0.0
         return min(1.0, job.spec.cpus / max(spec.cpus, 1e-3))
--- a/pitchtally/control/records.py
+++ b/pitchtally/control/records.py
@@ -45,11 +45,13 @@
             self.chunks[where] = msgspec.json.decode(value, type=dict[str, list[Any]])
 
     def chunk_of(self, machine: str) -> int:
+        """The number of the chunk that names a machine."""
         digits = machine.rpartition("-")[2]
         number = int(digits) if digits.isdigit() and len(digits) < 19 else 0
         return number // self.workers.count // self.span
 
     def of(self, part: int) -> dict[str, list[Any]]:
+        """Every recorded machine of a part."""
         out: dict[str, list[Any]] = {}
         for (p, _), chunk in self.chunks.items():
             if p == part:
@@ -57,6 +59,7 @@
         return out
 
     async def run(self) -> None:
+        """Write the records of our parts whenever their machines change."""
         while True:
             with trio.move_on_after(self.workers.times.report_s):
                 await self.wake.wait()
@@ -91,7 +94,7 @@
                 key: self.workers.replica.version(key),
             }
             # A name leaves the record only once its machine is known to be gone.
-            done = await self.workers.book.commit(
+            done = await self.workers.job_store.commit(
                 conditions, [Write(key, encode(rows))], priority=tokens.COMPLETIONS
             )
             if done and self.workers.parts.get(hold.part) is hold:
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -12,10 +12,12 @@
 from ..policy import Policy
 from ..settings import Settings, host_port
 from ..store import Replica, Store
-from .api import Acceptances, Api
+from .acceptance import Acceptances
+from .api import Api
 from .fleet import Fleet
-from .jobs import Book
-from .members import Cancellation, Heartbeat, Members, SplitAnswer
+from .jobs import JobStore
+from .members import Members
+from .messages import Cancellation, Heartbeat, SplitAnswer
 from .split import Split
 from .workers import Workers
 
@@ -28,6 +30,8 @@
 
 
 class Controller:
+    """One controller: its components, put together."""
+
     def __init__(self, settings: Settings, policy: Policy):
         self.settings = settings
         self.policy = policy
@@ -38,15 +42,15 @@
         watch_rate = limits.state.rps * policy.watch_share / len(settings.nodes)
         self.replica = Replica(self.store, 1 / watch_rate, policy.session_ttl / 2)
         self.members = Members(settings, policy, self.store, self.replica)
-        self.book = Book(self.store, self.replica, self.members.token, policy.period)
+        self.job_store = JobStore(self.store, self.replica, self.members.token, policy.period)
         self.workers = Workers(
-            settings, policy, self.members, self.book, self.replica, lambda: self.fleet.types
+            settings, policy, self.members, self.job_store, self.replica, lambda: self.fleet.types
         )
         self.split = Split(
             settings,
             policy,
             self.members,
-            self.book,
+            self.job_store,
             self.workers,
             self.replica,
             lambda: self.fleet.types,
@@ -55,7 +59,7 @@
             settings,
             policy,
             self.members,
-            self.book,
+            self.job_store,
             self.workers,
             self.split,
             self.store,
@@ -67,7 +71,7 @@
             self.members,
             self.store,
             self.replica,
-            self.book,
+            self.job_store,
             self.workers,
             self.split,
             lambda: self.fleet.types,
@@ -83,8 +87,10 @@
 
         members.on_gain = gained
         members.on_loss = workers.drop_part
-        members.on_cancel = lambda c: self.book.learn_cancelled(c.job, c.version, c.tasks, c.done)
-        members.on_beat = self._beat
+        members.on_cancel = lambda c: self.job_store.learn_cancelled(
+            c.job, c.version, c.tasks, c.done
+        )
+        members.on_heartbeat = self._beat
         members.on_forward = self.api.local
         members.on_split = self._split
         members.fill_in = self._fill_in
@@ -101,18 +107,21 @@
         plan = self.split.decide_as_leader(spec)
         return SplitAnswer(plan.ranges, plan.zone)
 
-    def _beat(self, beat: Heartbeat) -> None:
-        self.split.notes.take_beat(beat)
-        self.fleet.take_beat(beat)
+    def _beat(self, heartbeat: Heartbeat) -> None:
+        self.split.statuses.take_heartbeat(heartbeat)
+        self.fleet.take_heartbeat(heartbeat)
 
-    def _fill_in(self, beat: Heartbeat, seen: int) -> None:
+    def _fill_in(self, heartbeat: Heartbeat, seen: int) -> None:
         """What the slices have to tell a peer whose copy covers that revision."""
-        beat.cancellations = [Cancellation(*row) for row in self.book.cancelled_after(seen)]
-        beat.parts = self.split.notes.own()
-        beat.released = self.fleet.released_names()
-        beat.drain = self.fleet.drain_names()
+        heartbeat.cancellations = [
+            Cancellation(*row) for row in self.job_store.cancelled_after(seen)
+        ]
+        heartbeat.parts = self.split.statuses.own()
+        heartbeat.released = self.fleet.released_names()
+        heartbeat.drain = self.fleet.drain_names()
 
     async def run(self) -> None:
+        """Serve and run every loop until cancelled."""
         times = self.settings.deployment.workers
         # One survivor of three may get every worker, and every user: what our own calls
         # take (`OUTWARD`, by the slices) and peers need is set aside, the rest is theirs.
@@ -132,14 +141,14 @@
             max_body=1 << 22,
         )
         loops: list[Callable[[], Awaitable[None]]] = [
-            self.members.run_clock,
+            self.members.run_pause_detector,
             self.replica.run,
             self.members.run_lease,
             self.members.run_ownership,
-            self.book.run,
+            self.job_store.run,
             self.workers.run_expiry,
-            self.workers.reach.run,
-            self.workers.reach.run_deaf,
+            self.workers.direct_commands.run,
+            self.workers.direct_commands.run_reachability,
             self.workers.records.run,
             self.split.run,
             self.split.run_splitting,
@@ -159,7 +168,7 @@
             for loop in loops:
                 nursery.start_soon(self._always, loop)
             for peer in self.members.peers.values():
-                nursery.start_soon(self._always, lambda p=peer: self.members.run_beats(p))
+                nursery.start_soon(self._always, lambda p=peer: self.members.run_heartbeats(p))
             log.info(
                 "serving node=%s address=%s objectives=%s",
                 self.settings.name,
@@ -180,7 +189,7 @@
 
     async def _own_drain(self) -> None:
         while True:
-            await trio.sleep(self.policy.beat)
+            await trio.sleep(self.policy.heartbeat_interval)
             self.fleet.own_drain()
 
     async def _serve_peer(self, request: Request) -> Response:
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -23,18 +23,7 @@
 from ..settings import Settings
 from ..store import Replica, StoreDown, Write
 from . import stretch
-from .estimates import Estimates
-from .gangs import Gangs
-from .jobs import OPEN, Book, Job, encode, merge
-from .levelling import Levelling
-from .machines import need_of
-from .members import Members, PartNote
-from .notes import Notes
-from .order import Order
-from .parts import Parts
-from .placing import Placing
-from .preemption import Preemption
-from .rooms import (
+from .capacity import (
     NOBODY,
     RANK,
     Plan,
@@ -43,6 +32,18 @@
     share_of,
     whole,
 )
+from .estimates import Estimates
+from .gangs import Gangs
+from .jobs import OPEN, Job, JobStore, encode, merge
+from .machines import need_of
+from .members import Members
+from .messages import PartStatus
+from .order import Order
+from .part_statuses import PartStatuses
+from .parts import Parts
+from .placing import Placing
+from .preemption import Preemption
+from .rebalancing import Rebalancing
 from .teams import Teams
 from .workers import Workers
 
@@ -61,7 +62,7 @@
         settings: Settings,
         policy: Policy,
         members: Members,
-        book: Book,
+        job_store: JobStore,
         workers: Workers,
         replica: Replica,
         types: Callable[[], dict[str, wire.MachineType]],
@@ -69,7 +70,7 @@
         self.settings = settings
         self.policy = policy
         self.members = members
-        self.book = book
+        self.job_store = job_store
         self.workers = workers
         self.types = types
         self.count = settings.deployment.count
@@ -82,29 +83,29 @@
         self.tasks = stretch.samples(0.25, 0.25 * 3.0**7, int(policy.task_samples))
         self.replica = replica
         self.order = Order(self)
-        self.notes = Notes(self)
+        self.statuses = PartStatuses(self)
         self.teams = Teams(self)
         self.parts = Parts(self)
         self.placing = Placing(self)
         self.gangs = Gangs(self)
         self.preemption = Preemption(self)
-        self.levelling = Levelling(self)
+        self.rebalancing = Rebalancing(self)
 
-    def _cover(self, note: PartNote, spec: wire.JobSpec, level: int) -> int:
+    def _cover(self, status: PartStatus, spec: wire.JobSpec, level: int) -> int:
         """n of a part at a stretch sample, from its matrix, less what was sent since."""
         total = 0
         size = stretch.sample_below(self.sizes, self.order.size(spec))
-        debt = sum(w for _, w in self.notes.debts.get(note.part, ()))
-        for name, cells in note.matrix:
+        sent = sum(w for _, w in self.statuses.unreported.get(status.part, ()))
+        for name, cells in status.matrix:
             type_, zone, spot = name.split("|")
             kind = self.types().get(type_)
             if kind is None or not group_ok(spec, kind, zone, spot == "1"):
                 continue
             task = self.estimates.task(spec) * share_of(need_of(spec), kind)
             total += cells[level][size][stretch.sample_above(self.tasks, task)]
-            if debt and total:
-                total -= math.ceil(debt / max(task, 1e-6))
-                debt = 0.0
+            if sent and total:
+                total -= math.ceil(sent / max(task, 1e-6))
+                sent = 0.0
         return max(0, total)
 
     def decide(self, spec: wire.JobSpec) -> Plan:
@@ -113,7 +114,7 @@
         A gang's tasks are placed at once wherever there is room for all: it has no
         stretch to compare, and a detour by the leader would only cost time.
         """
-        mine = [p for p, w in self.parts.work.items() if w.loaded and p in self.notes.newest]
+        mine = [p for p, w in self.parts.work.items() if w.loaded and p in self.statuses.newest]
         if not mine:
             return NOBODY
         if spec.kind == wire.GANG:
@@ -130,15 +131,15 @@
     def _keep(self, spec: wire.JobSpec, mine: list[int]) -> list[tuple[int, int, int]]:
         """The B test on our parts; the leader splits at once what none of them keeps."""
         lowest = max(
-            min((n.stretch for n in self.notes.newest.values()), default=0.0), self.stretches[0]
+            min((n.stretch for n in self.statuses.newest.values()), default=0.0), self.stretches[0]
         )
         for part in mine:
             counts = [
-                self._cover(self.notes.newest[part], spec, i) for i in range(len(self.stretches))
+                self._cover(self.statuses.newest[part], spec, i) for i in range(len(self.stretches))
             ]
             level = stretch.least_cover(counts, spec.tasks)
             if level is not None and self.stretches[level] <= self.policy.bound * lowest:
-                self.notes.owe(part, spec, spec.tasks)
+                self.statuses.record_allocation(part, spec, spec.tasks)
                 return [(0, spec.tasks, part)]
         return self.divide(spec) if self.members.leading is not None else []
 
@@ -147,20 +148,24 @@
         if whole(spec):
             best = self.gangs.best_part(spec)
             return [(0, spec.tasks, best)] if best is not None else []
-        notes = [n for n in self.notes.newest.values() if n.matrix]
-        if not notes:
+        statuses = [n for n in self.statuses.newest.values() if n.matrix]
+        if not statuses:
             return []
-        totals = [sum(self._cover(n, spec, i) for n in notes) for i in range(len(self.stretches))]
+        totals = [
+            sum(self._cover(n, spec, i) for n in statuses) for i in range(len(self.stretches))
+        ]
         level = stretch.least_cover(totals, spec.tasks)
         top = len(self.stretches) - 1 if level is None else level
-        found = [self._cover(n, spec, top) for n in notes]
+        found = [self._cover(n, spec, top) for n in statuses]
         if sum(found) == 0:
             return []
         out, first = [], 0
-        for note, n in zip(notes, stretch.shares(found, min(spec.tasks, sum(found))), strict=True):
+        for status, n in zip(
+            statuses, stretch.shares(found, min(spec.tasks, sum(found))), strict=True
+        ):
             if n:
-                out.append((first, first + n, note.part))
-                self.notes.owe(note.part, spec, n)
+                out.append((first, first + n, status.part))
+                self.statuses.record_allocation(status.part, spec, n)
                 first += n
         return out
 
@@ -176,7 +181,7 @@
         token = self.members.leading
         waiting = [
             job
-            for job in self.book.open.values()
+            for job in self.job_store.open.values()
             if sum(b - a for a, b, _ in job.record.ranges) < job.record.tasks
         ]
         # In the order of starts: what is planned first gets the room.
@@ -218,6 +223,7 @@
         ranges: list[tuple[int, int, int]],
         **more: Any,
     ) -> bool:
+        """Write who gets which tasks of a job; False if a condition failed."""
         key = f"pt/jobs/{job.id}"
         # Our copy applies our own writes ahead of the watch: a part of ours that was
         # taken over meanwhile must not be given tasks that its new owner starts too.
@@ -230,7 +236,7 @@
         record = msgspec.structs.replace(job.record, ranges=ranges, **more)
         if not job.chunked:
             record.finished = job.finished.text()
-        return await self.book.commit(
+        return await self.job_store.commit(
             {key: job.version, **guard}, [Write(key, encode(record))], priority=priority
         )
 
@@ -254,7 +260,7 @@
             return
         while self.replica.version(key) == version and self.members.token(part) == token:
             try:
-                await self.book.commit(
+                await self.job_store.commit(
                     {key: version, f"pt/parts/{part}": token},
                     [Write(key, value())],
                     priority=tokens.ACCEPTANCES,
@@ -266,6 +272,8 @@
     async def settle_job(
         self, error: StoreDown, job: Job, version: int, part: int, token: int
     ) -> None:
+        """`settle` for a job's record."""
+
         def value() -> bytes:
             record = job.record
             if record.stage == OPEN and not job.chunked:
@@ -275,7 +283,7 @@
         await self.settle(error, f"pt/jobs/{job.id}", version, part, token, value)
 
     async def run(self) -> None:
-        """Allot, preempt, refresh notes; what is due is worked out anew each time."""
+        """Allot, preempt, refresh statuses; what is due is worked out anew each time."""
         while True:
             with trio.move_on_after(self.report_s / 4):
                 await self.wake.wait()
@@ -295,7 +303,7 @@
                         self.gangs.reserve(part)
                         spent += trio.current_time() - at
                         await trio.sleep(0)  # reports come before planning
-                spent += self.notes.refresh()
+                spent += self.statuses.refresh()
                 # Planning takes a bounded share of the processor, whatever its size.
                 await trio.sleep(min(self.report_s, spent * _REST))
             except Exception:
@@ -311,8 +319,8 @@
                 if self.members.leading is not None:
                     await self._assign()
                 await self.gangs.give_back()
-                await self.levelling.rebalance()
-                await self.levelling.level()
+                await self.rebalancing.rebalance()
+                await self.rebalancing.even_out()
                 await self.teams.move_shares()
                 spent = min(self.report_s, trio.current_time() - at)
             except StoreDown as error:
--- a/pitchtally/control/stretch.py
+++ b/pitchtally/control/stretch.py
@@ -73,6 +73,7 @@
 
 
 def line(queue: Sequence[Entry], stretch: float, now: float) -> Line:
+    """EDF at a stretch, with what each application leaves to the others."""
     rows = sorted((deadline(e.release, e.size, stretch), e.work) for e in queue)
     before, done = [0.0], 0.0
     for _, work in rows:
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -12,15 +12,15 @@
 from .. import tokens, wire
 from ..settings import Team
 from ..store import StoreDown, Write
-from .holdings import PartWork
-from .jobs import encode
-from .members import PartNote
-from .rooms import (
+from .capacity import (
     RANK,
     fits,
     times,
 )
-from .slice import Slice
+from .component import SchedulerComponent
+from .holdings import PartWork
+from .jobs import encode
+from .messages import PartStatus
 
 if TYPE_CHECKING:
     from .split import Split
@@ -28,7 +28,7 @@
 log = logging.getLogger("teams")
 
 
-class Teams(Slice):
+class Teams(SchedulerComponent):
     """Teams: guarantees, limits, and the durable shares of a limit that parts hold."""
 
     def __init__(self, split: Split) -> None:
@@ -36,7 +36,9 @@
         self.known: dict[str, Team] = {t.name: t for t in self.settings.deployment.teams}
         self.shares: dict[str, list[tuple[float, float]]] = {}
         self.giving: dict[tuple[int, str], tuple[float, float]] = {}
-        self.hungry: dict[str, tuple[float, int, str]] = {}  # team -> gang short of share
+        self.waiting_for_limit: dict[
+            str, tuple[float, int, str]
+        ] = {}  # team -> gang short of share
         split.replica.listen("shares", self._on_shares)
 
     def share(self, part: int, team: str) -> tuple[float, float]:
@@ -56,17 +58,20 @@
         )
 
     def limited(self, team: str) -> bool:
+        """Whether a team has a limit; an unknown one counts as limited."""
         found = self.known.get(team)
         return found is None or found.cpus_max > 0 or found.gpus_max > 0
 
     def guaranteed(self, team: str) -> bool:
+        """Whether a team has a guarantee."""
         found = self.known.get(team)
         return found is not None and (found.cpus > 0 or found.gpus > 0)
 
     def use(self, part: int, team: str) -> tuple[float, float]:
+        """CPUs and GPUs that a team's tasks take in a part."""
         return self.workers.use(part, team)
 
-    def room(self, part: int, spec: wire.JobSpec) -> int:
+    def tasks_within_limit(self, part: int, spec: wire.JobSpec) -> int:
         """How many more tasks of this job the team's share allows in the part."""
         if not self.limited(spec.team):
             return 1_000_000
@@ -79,8 +84,8 @@
             # The gang's part leaves all that it needs, any other as much of that as it
             # holds of the limit; the rest goes on, for a gang may wait long for shares
             # to move in an outage.
-            _, place, id = self.hungry[spec.team]
-            gang, team = self.book.open[id].spec, self.known[spec.team]
+            _, place, id = self.waiting_for_limit[spec.team]
+            gang, team = self.job_store.open[id].spec, self.known[spec.team]
             if team.cpus_max:
                 part_of = 1.0 if place == part else share[0] / team.cpus_max
                 cpus -= gang.cpus * gang.tasks * part_of
@@ -95,15 +100,15 @@
         Any of them may hold nothing but this team's tasks. A zone that is cut off in the
         midst of a takeover must not stop every limited team on the machines that answer.
         """
-        haunted = self.workers.haunted.get(part)
-        if self.split.parts.work[part].settled and not haunted:
+        machines_with_orphans = self.workers.machines_with_orphans.get(part)
+        if self.split.parts.work[part].settled and not machines_with_orphans:
             return (0.0, 0.0)
         hold = self.workers.parts.get(part)
         if hold is None or not hold.loaded:
             return None
         cpus = gpus = 0.0
         # Nor is anything known of what tasks of jobs that are over take until they end.
-        for name in hold.suspects | (haunted or set()):
+        for name in hold.suspects | (machines_with_orphans or set()):
             machine = self.workers.machines.get(name)
             if machine is None or machine.kind is None:
                 return None
@@ -116,10 +121,10 @@
         Arrays take what frees up task by task, so a gang would wait for ever for a
         limit that its own team's arrays fill.
         """
-        gang = self.hungry.get(spec.team)
+        gang = self.waiting_for_limit.get(spec.team)
         if gang is None or spec.kind == wire.GANG:
             return False
-        job, first = self.book.open.get(spec.id), self.book.open.get(gang[2])
+        job, first = self.job_store.open.get(spec.id), self.job_store.open.get(gang[2])
         if job is None or first is None or RANK[spec.rank] < RANK[first.spec.rank]:
             return False
         # The gang's stretch deadline is far off for its size, while it needs little of
@@ -127,11 +132,11 @@
         waited = trio.current_time() - self.split.order.release(first)
         return waited > self.report_s * 4 or gang[0] <= self.split.order.due(job, 1.0)
 
-    def find_hungry(self) -> None:
+    def find_waiting_for_limit(self) -> None:
         """For each limited team, the first gang that has room on machines but no share."""
-        self.hungry.clear()
+        self.waiting_for_limit.clear()
         limited = {team for team in self.known if self.limited(team)}
-        for gang in self.book.open.values() if limited else ():
+        for gang in self.job_store.open.values() if limited else ():
             # Not assigned yet, since the limit has no place for all of it.
             team = gang.spec.team
             if (
@@ -141,39 +146,42 @@
                 and self.limit_left(gang.spec) < gang.spec.tasks
             ):
                 row = (self.split.order.due(gang, 1.0), -1, gang.id)
-                if team not in self.hungry or row < self.hungry[team]:
-                    self.hungry[team] = row
-        for note in self.split.notes.newest.values():
-            for id, count in note.waiting.items():
-                job = self.book.open.get(id)
+                if team not in self.waiting_for_limit or row < self.waiting_for_limit[team]:
+                    self.waiting_for_limit[team] = row
+        for status in self.split.statuses.newest.values():
+            for id, count in status.waiting.items():
+                job = self.job_store.open.get(id)
                 if job is None or job.spec.kind != wire.GANG or not self.limited(job.spec.team):
                     continue
                 spec = job.spec
-                share, used = self.share(note.part, spec.team), note.use.get(spec.team, (0, 0))
+                share, used = self.share(status.part, spec.team), status.use.get(spec.team, (0, 0))
                 room = (share[0] - used[0], share[1] - used[1], 1.0)
                 if times((spec.cpus, spec.gpus, 0.0), room) >= count:
                     continue
                 if (
-                    id not in note.reserved
-                    and self.split.notes.room(note, spec, yielding=True) < count
+                    id not in status.reserved
+                    and self.split.statuses.free_capacity(status, spec, yielding=True) < count
                 ):
                     continue
-                row = (self.split.order.due(job, 1.0), note.part, id)
-                if spec.team not in self.hungry or row < self.hungry[spec.team]:
-                    self.hungry[spec.team] = row
+                row = (self.split.order.due(job, 1.0), status.part, id)
+                if (
+                    spec.team not in self.waiting_for_limit
+                    or row < self.waiting_for_limit[spec.team]
+                ):
+                    self.waiting_for_limit[spec.team] = row
 
     def use_anywhere(self, team: str) -> tuple[float, float]:
         """A team's use in all parts: ours exactly, others' as last told."""
         rows = [
-            self.use(p, team) if p in self.split.parts.work else note.use.get(team, (0.0, 0.0))
-            for p, note in self.split.notes.newest.items()
+            self.use(p, team) if p in self.split.parts.work else status.use.get(team, (0.0, 0.0))
+            for p, status in self.split.statuses.newest.items()
         ]
         return sum(r[0] for r in rows), sum(r[1] for r in rows)
 
     def under(self, spec: wire.JobSpec) -> bool:
         """Whether the team, with one more such task, runs no more than its guarantee.
 
-        Guarantees decide order and preemption only, so peers' notes are exact enough;
+        Guarantees decide order and preemption only, so peers' statuses are exact enough;
         limits are rules and rest on durable shares instead.
         """
         team = self.known.get(spec.team)
@@ -202,6 +210,7 @@
         return spec.team != other and self.over_guarantee(spec.team)
 
     def over_guarantee(self, name: str) -> bool:
+        """Whether a team runs more than its guarantee."""
         team = self.known.get(name)
         if team is None:
             return False
@@ -223,7 +232,7 @@
         """
         for part, work in list(self.split.parts.work.items()):
             token = self.members.token(part)
-            if not work.settled or token is None or part not in self.split.notes.newest:
+            if not work.settled or token is None or part not in self.split.statuses.newest:
                 continue
             for team in self.known.values():
                 if not self.limited(team.name) or (part, team.name) in self.giving:
@@ -231,14 +240,14 @@
                 if self.split.parts.work.get(part) is not work:
                     break  # lost while a share of it was being given away
                 spare = self._spare(part, work, team.name)
-                for other in self.split.notes.newest.values():
+                for other in self.split.statuses.newest.values():
                     if other.part == part:
                         continue
                     short, least = self._short(other, team.name)
                     give = (min(spare[0], short[0]), min(spare[1], short[1]))
-                    hungry = self.hungry.get(team.name)
-                    if hungry is not None:
-                        if hungry[1] != other.part:
+                    waiting_for_limit = self.waiting_for_limit.get(team.name)
+                    if waiting_for_limit is not None:
+                        if waiting_for_limit[1] != other.part:
                             continue  # first the gang that waits for its team's limit
                     elif not fits((least[0], least[1], 0.0), (give[0], give[1], 1.0)):
                         continue  # not enough to start even one task there
@@ -252,7 +261,7 @@
         for holding in work.holdings.values():
             spec = holding.job.spec
             if spec.team == team and holding.pool.count and not self.held_back(spec):
-                count = self._startable(self.split.notes.newest[part], spec, holding.pool.count)
+                count = self._startable(self.split.statuses.newest[part], spec, holding.pool.count)
                 # What is too little for one more task here may complete one elsewhere.
                 count = min(count, times((spec.cpus, spec.gpus, 0.0), (cpus, gpus, 1.0)))
                 cpus -= spec.cpus * count
@@ -262,26 +271,31 @@
             gpus if 0 < gpus < math.inf else 0.0,
         )
 
-    def _startable(self, note: PartNote, spec: wire.JobSpec, waiting: int) -> int:
+    def _startable(self, status: PartStatus, spec: wire.JobSpec, waiting: int) -> int:
         """How many waiting tasks machines there have room for, by preemption for gangs.
 
         Share that goes to tasks without room would lie idle there while other parts
         have room and no share.
         """
-        return min(waiting, self.split.notes.room(note, spec, yielding=spec.kind == wire.GANG))
+        return min(
+            waiting,
+            self.split.statuses.free_capacity(status, spec, yielding=spec.kind == wire.GANG),
+        )
 
-    def _short(self, note: PartNote, team: str) -> tuple[tuple[float, float], tuple[float, float]]:
+    def _short(
+        self, status: PartStatus, team: str
+    ) -> tuple[tuple[float, float], tuple[float, float]]:
         """What a part's waiting tasks of a team lack of share; and for one task, the least."""
-        share, used = self.share(note.part, team), note.use.get(team, (0.0, 0.0))
+        share, used = self.share(status.part, team), status.use.get(team, (0.0, 0.0))
         left = (share[0] - used[0], share[1] - used[1])
         cpus = gpus = 0.0
         least = (math.inf, math.inf)
-        for id, count in note.waiting.items():
-            job = self.book.open.get(id)
+        for id, count in status.waiting.items():
+            job = self.job_store.open.get(id)
             if job is None or job.spec.team != team:
                 continue
             spec = job.spec
-            count = self._startable(note, spec, count)
+            count = self._startable(status, spec, count)
             if not count:
                 continue
             cpus, gpus = cpus + spec.cpus * count, gpus + spec.gpus * count
@@ -310,7 +324,7 @@
         conditions = {f"pt/parts/{part}": token, "pt/shares": version}
         self.giving[(part, team.name)] = give
         try:
-            await self.book.commit(
+            await self.job_store.commit(
                 conditions, [Write("pt/shares", value)], priority=tokens.ACCEPTANCES
             )
         except StoreDown as error:
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -20,11 +20,11 @@
 from ..policy import Policy
 from ..settings import Settings
 from ..store import Replica
+from .direct_commands import DirectCommands
 from .evidence import lease_over
-from .jobs import Book
-from .machines import UNHEEDED, Group, Load, Machine, PartHold, Placement
+from .jobs import JobStore
+from .machines import MAX_UNACKNOWLEDGED, Group, Load, Machine, PartHold, Placement
 from .members import Members, part_of
-from .reach import Reach
 from .records import Records
 
 log = logging.getLogger("workers")
@@ -34,12 +34,14 @@
 
 
 class Workers:
+    """The machines of the parts that this node owns, and what is on them."""
+
     def __init__(
         self,
         settings: Settings,
         policy: Policy,
         members: Members,
-        book: Book,
+        job_store: JobStore,
         replica: Replica,
         types: Callable[[], dict[str, wire.MachineType]],
     ):
@@ -47,7 +49,7 @@
         self.times = settings.deployment.workers
         self.policy = policy
         self.members = members
-        self.book = book
+        self.job_store = job_store
         self.replica = replica
         self.types = types
         self.count = settings.deployment.count
@@ -59,10 +61,10 @@
         self.team_use: dict[tuple[int, str], list[float]] = {}  # CPUs, GPUs, tasks
         self.loads: dict[int, dict[Group, dict[str, Load]]] = {}  # part -> like machines -> job
         self.parts: dict[int, PartHold] = {}
-        self.haunted: dict[int, set[str]] = {}  # machines with orphans, by part
+        self.machines_with_orphans: dict[int, set[str]] = {}  # machines with orphans, by part
         self.released: dict[str, float] = {}  # names the cloud has confirmed gone
         self.records = Records(self)
-        self.reach = Reach(self)
+        self.direct_commands = DirectCommands(self)
         # Filled in by the service.
         self.fill: Callable[[Machine], list[Placement]] = lambda machine: []
         self.on_gone: Callable[[Placement, str], None] = lambda placement, cause: None
@@ -76,14 +78,16 @@
     # --- ownership -----------------------------------------------------------
 
     def gained(self, part: int, token: int) -> None:
+        """A part is ours under this token."""
         self.drop_part(part)
         self.parts[part] = PartHold(part, token)
-        self.reach.wake.set()
+        self.direct_commands.wake.set()
 
     def drop_part(self, part: int) -> None:
+        """Forget a part that is another node's."""
         if self.parts.pop(part, None) is None:
             return
-        self.haunted.pop(part, None)
+        self.machines_with_orphans.pop(part, None)
         for machine in self.in_part.pop(part, {}).values():
             for placement in list(machine.placements.values()):
                 self.drop(placement)
@@ -158,6 +162,7 @@
         return out
 
     def use(self, part: int, team: str) -> tuple[float, float]:
+        """CPUs and GPUs that a team's tasks take in a part."""
         found = self.team_use.get((part, team))
         return (found[0], found[1]) if found is not None else (0.0, 0.0)
 
@@ -214,6 +219,7 @@
     # --- reports ----------------------------------------------------------------
 
     async def serve(self, request: Request) -> Response:
+        """Answer a worker's report."""
         try:
             report = _report.decode(request.body)
         except msgspec.MsgspecError as error:
@@ -228,7 +234,7 @@
         if report.token > token:
             self.members.fenced(part, report.token)
             return Response(421, encode(wire.Redirect(None)))
-        if self.members.blind():
+        if self.members.evidence_expired():
             # A cancellation may have been told to a user that we can't hear of:
             # letting the lease run out keeps the promise about its tasks.
             return Response(503, b"{}")
@@ -240,7 +246,7 @@
             # its answer.
             return Response(503, b"{}")
         if known is not None:
-            self._heeded(known, report)
+            self._check_acknowledged(known, report)
         machine = self.observe(report, hold, direct=False)
         if machine is None:
             # Without our token it may be a copy of any age: it earns the token, no
@@ -257,7 +263,7 @@
         machine.answered_at = trio.current_time()
         return Response(200, encode(wire.Orders(token, orders)))
 
-    def _heeded(self, machine: Machine, report: wire.Report) -> None:
+    def _check_acknowledged(self, machine: Machine, report: wire.Report) -> None:
         """Whether the last answer had an effect: that it was sent proves nothing.
 
         The worker sends one report at a time, so the next one shows every order that
@@ -270,7 +276,7 @@
         if report.session > machine.session:
             # Its lease ran out although we answered within it.
             unheard = machine.confirmed and now - machine.answered_at < self.times.lease_s
-            machine.unheeded += int(unheard) * (UNHEEDED - 1)
+            machine.unacknowledged += int(unheard) * (MAX_UNACKNOWLEDGED - 1)
         elif machine.asked:
             listed = {task.task: task.attempt for task in report.tasks}
             unheard = not any(
@@ -280,8 +286,8 @@
         else:
             return
         machine.asked = []
-        machine.unheeded = machine.unheeded + 1 if unheard else 0
-        if machine.unheeded == UNHEEDED:
+        machine.unacknowledged = machine.unacknowledged + 1 if unheard else 0
+        if machine.unacknowledged == MAX_UNACKNOWLEDGED:
             log.info(
                 "answers don't reach machine=%s tasks=%d", machine.name, len(machine.placements)
             )
@@ -313,7 +319,7 @@
             log.info("session risen machine=%s tasks=%d", machine.name, len(machine.placements))
             self._clear(machine, "session")
         machine.session, machine.seq = report.session, report.seq
-        machine.heard_at = self.reach.heard_at = now
+        machine.heard_at = self.direct_commands.heard_at = now
         if machine.lost:
             machine.lost = False
             machine.idle_since = now
@@ -338,7 +344,7 @@
             self._gone(placement, cause)
         machine.exits.clear()
         machine.orphans.clear()
-        self.haunted.get(machine.part, set()).discard(machine.name)
+        self.machines_with_orphans.get(machine.part, set()).discard(machine.name)
 
     def _gone(self, placement: Placement, cause: str) -> None:
         machine = placement.machine
@@ -350,13 +356,34 @@
     def _reconcile(
         self, machine: Machine, report: wire.Report, hold: PartHold, direct: bool
     ) -> None:
-        now = trio.current_time()
-        listed: dict[str, wire.TaskReport] = {}
-        for task in report.tasks:
-            listed[task.task] = task
+        """Make what we know of a machine's tasks agree with its report."""
+        listed = {task.task: task for task in report.tasks}
+        self._drop_missing(machine, report, listed, direct)
+        machine.exits = {
+            k: v for k, v in machine.exits.items() if k in listed and listed[k].attempt == v[0]
+        }
+        machine.orphans.clear()
+        for key, task in listed.items():
+            placement = machine.placements.get(key)
+            if placement is not None and placement.attempt != task.attempt:
+                placement = None
+            if task.state == wire.EXITED:
+                self._take_exit(machine, placement, key, task)
+            else:
+                self._take_active(machine, placement, key, task)
+        self._watch_orphans(machine)
+
+    def _drop_missing(
+        self,
+        machine: Machine,
+        report: wire.Report,
+        listed: dict[str, wire.TaskReport],
+        direct: bool,
+    ) -> None:
+        """Tasks that the machine would list if it had them are on it no more."""
         for key, placement in list(machine.placements.items()):
-            task_ = listed.get(key)
-            if task_ is not None and task_.attempt == placement.attempt:
+            task = listed.get(key)
+            if task is not None and task.attempt == placement.attempt:
                 continue
             if not placement.sent_seq and not placement.seen:
                 continue  # decided, not ordered yet
@@ -365,57 +392,58 @@
                 # answer may have been made while our response was on its way.
                 continue
             self._gone(placement, "missing")
-        machine.exits = {
-            k: v for k, v in machine.exits.items() if k in listed and listed[k].attempt == v[0]
-        }
-        machine.orphans.clear()
-        for key, task_ in listed.items():
-            placement_ = machine.placements.get(key)
-            if placement_ is not None and placement_.attempt != task_.attempt:
-                placement_ = None
-            if task_.state == wire.EXITED:
-                if key.rpartition("/")[0] not in self.book.jobs:
-                    continue  # our copy may be behind: the result stays where it is
-                if key not in machine.exits:
-                    machine.exits[key] = (task_.attempt, task_.cause or "")
-                    if placement_ is None:
-                        placement_ = self._adopted(machine, key, task_)
-                    self._ended(machine, placement_, key, task_)
-                continue
-            if placement_ is None:
-                placement_ = self._adopted(machine, key, task_)
-                if placement_ is None:
-                    # Cancelled while nobody owned the part: its owner was gone, and we
-                    # had not heard the machine. A job unknown here stays alone: our copy
-                    # may be behind.
-                    if self._over(key):
-                        machine.orphans[key] = task_.attempt
-                    continue
-                self.put(placement_)
-                if not self.adopt(placement_):
-                    placement_.grace = 0.0
-            placement_.seen = True
-            if task_.state != placement_.state:
-                placement_.state = task_.state
-                if task_.state == wire.RUNNING and placement_.run_at is None:
-                    self._runs(placement_)
-            if placement_.spec.image:
-                machine.images[placement_.spec.image] = now
-        haunted = self.haunted.setdefault(machine.part, set())
+
+    def _take_exit(
+        self, machine: Machine, placement: Placement | None, key: str, task: wire.TaskReport
+    ) -> None:
+        if key.rpartition("/")[0] not in self.job_store.jobs:
+            return  # our copy may be behind: the result stays where it is
+        if key in machine.exits:
+            return
+        machine.exits[key] = (task.attempt, task.cause or "")
+        if placement is None:
+            placement = self._adopted(machine, key, task)
+        self._ended(machine, placement, key, task)
+
+    def _take_active(
+        self, machine: Machine, placement: Placement | None, key: str, task: wire.TaskReport
+    ) -> None:
+        if placement is None:
+            placement = self._adopted(machine, key, task)
+            if placement is None:
+                # Cancelled while nobody owned the part: its owner was gone, and we
+                # had not heard the machine. A job unknown here stays alone: our copy
+                # may be behind.
+                if self._over(key):
+                    machine.orphans[key] = task.attempt
+                return
+            self.put(placement)
+            if not self.adopt(placement):
+                placement.grace = 0.0
+        placement.seen = True
+        if task.state != placement.state:
+            placement.state = task.state
+            if task.state == wire.RUNNING and placement.run_at is None:
+                self._runs(placement)
+        if placement.spec.image:
+            machine.images[placement.spec.image] = trio.current_time()
+
+    def _watch_orphans(self, machine: Machine) -> None:
+        names = self.machines_with_orphans.setdefault(machine.part, set())
         if machine.orphans:
-            haunted.add(machine.name)
-            self.reach.touch(machine.name)
+            names.add(machine.name)
+            self.direct_commands.touch(machine.name)
         else:
-            haunted.discard(machine.name)
+            names.discard(machine.name)
 
     def _over(self, key: str) -> bool:
-        job = self.book.jobs.get(key.rpartition("/")[0])
+        job = self.job_store.jobs.get(key.rpartition("/")[0])
         return job is not None and not job.open
 
     def _adopted(self, machine: Machine, key: str, task: wire.TaskReport) -> Placement | None:
         """A task that an earlier owner started, of a job that goes on."""
         id, _, number = key.rpartition("/")
-        job = self.book.jobs.get(id)
+        job = self.job_store.jobs.get(id)
         if job is None or not job.open or not number.isdigit():
             return None
         if int(number) >= job.record.tasks:
@@ -454,6 +482,7 @@
     # --- orders --------------------------------------------------------------------
 
     def kills(self, machine: Machine) -> list[wire.Order]:
+        """Orders for all that must stop on a machine."""
         now = trio.current_time()
         orders = []
         for key, placement in machine.placements.items():
@@ -482,7 +511,7 @@
         for key, (attempt, cause) in machine.exits.items():
             if cause == wire.DONE:
                 id, _, number = key.rpartition("/")
-                job = self.book.jobs.get(id)
+                job = self.job_store.jobs.get(id)
                 if job is not None and job.open and int(number) not in job.finished:
                     continue  # the report is the only durable trace so far
             orders.append(wire.Order(wire.FORGET, key, attempt))
@@ -524,7 +553,7 @@
         if placement.grace is None or grace < placement.grace:
             placement.grace = grace
             placement.kill_at = 0.0
-            self.reach.touch(placement.machine.name)
+            self.direct_commands.touch(placement.machine.name)
 
     def stop_job(self, id: str) -> None:
         """A cancelled job: all its tasks, wherever they are."""
@@ -538,13 +567,13 @@
         while True:
             await trio.sleep(self.times.report_s / 4)
             now = trio.current_time()
-            owned = self.members.owned_at()
-            stood = self.members.stood_at()
+            owned = self.members.ownership_known_at()
+            resumed = self.members.resumed_at()
             for machine in list(self.machines.values()):
                 hold = self.parts.get(machine.part)
                 if hold is None:
                     continue
-                silent = now - max(machine.heard_at, stood)
+                silent = now - max(machine.heard_at, resumed)
                 held = not machine.lost or machine.placements
                 if (
                     machine.confirmed
@@ -584,4 +613,5 @@
     # --- views --------------------------------------------------------------------------
 
     def of_part(self, part: int) -> Collection[Machine]:
+        """The machines of a part."""
         return self.in_part.get(part, {}).values()
--- a/pitchtally/policy.py
+++ b/pitchtally/policy.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from .control.evidence import blind_most
+from .control.evidence import longest_evidence_age
 from .settings import Settings, SettingsError
 
 # name: (default expression, lowest, highest, what it sets)
@@ -28,13 +28,18 @@
     "size_samples": ("6", 1, 32, "samples of w in a matrix"),
     "task_samples": ("8", 1, 32, "samples of a in a matrix"),
     "session_ttl": ("workers.lease_s / 4", 0.1, 600, "a node's lease in the state service"),
-    "beat": ("workers.report_s / 3", 0.05, 60, "seconds between messages to each peer"),
+    "heartbeat_interval": (
+        "workers.report_s / 3",
+        0.05,
+        60,
+        "seconds between messages to each peer",
+    ),
     "call_timeout": ("workers.lease_s / 10", 0.05, 60, "longest wait for state service or peer"),
     "cloud_timeout": ("workers.lease_s / 3", 0.1, 120, "longest wait for the cloud"),
     "watch_share": ("0.25", 0.01, 0.9, "share of the state requests that watching may use"),
     "admit_wait": ("0.75", 0, 4, "longest wait for a write token before a submission gets 503"),
     "silence": ("workers.lease_s * 1.25", 0.1, 3600, "silent this long, a machine is given up"),
-    "blind": (
+    "max_evidence_age": (
         "(workers.cancel_s - workers.lease_s) * 0.6",
         0.1,
         3600,
@@ -60,7 +65,12 @@
         "the peak of so many seconds is kept ready for classes that can't wait",
     ),
     "preempt_after": ("workers.report_s / 2", 0, 600, "wait this long for room before preempting"),
-    "sick_rest": ("workers.lease_s * 3", 1, 36000, "rest for a machine that fails several jobs"),
+    "unhealthy_rest": (
+        "workers.lease_s * 3",
+        1,
+        36000,
+        "rest for a machine that fails several jobs",
+    ),
     "start_within": (
         "240",
         1,
@@ -70,6 +80,9 @@
     "list_every": ("cloud.list_lag_s / 2", 0.1, 600, "seconds between machine lists"),
 }
 
+# Names of earlier versions, which operators' files may still hold.
+RENAMED = {"beat": "heartbeat_interval", "blind": "max_evidence_age", "sick_rest": "unhealthy_rest"}
+
 _BINARY: dict[type[ast.AST], Callable[[Any, Any], Any]] = {
     ast.Add: operator.add,
     ast.Sub: operator.sub,
@@ -91,7 +104,7 @@
 
 
 class PolicyError(SettingsError):
-    pass
+    """A policy that can't be used; the text is one line."""
 
 
 class Policy:
@@ -103,19 +116,19 @@
     size_samples: float
     task_samples: float
     session_ttl: float
-    beat: float
+    heartbeat_interval: float
     call_timeout: float
     cloud_timeout: float
     watch_share: float
     admit_wait: float
     silence: float
-    blind: float
+    max_evidence_age: float
     hire_patience: float
     idle_release: float
     ready_for: float
     defer_share: float
     preempt_after: float
-    sick_rest: float
+    unhealthy_rest: float
     start_within: float
     list_every: float
 
@@ -123,6 +136,7 @@
         self.__dict__.update(figures)
 
     def items(self) -> list[tuple[str, float]]:
+        """Names and values, in order of names."""
         return sorted(self.__dict__.items())
 
 
@@ -162,15 +176,13 @@
         match node:
             case ast.Constant(value=bool() | int() | float() as value):
                 return value
-            case ast.Name(id=other) if other in FIGURES:
-                return self.figure(other)
+            case ast.Name(id=other) if RENAMED.get(other, other) in FIGURES:
+                return self.figure(RENAMED.get(other, other))
             case ast.Attribute(value=ast.Name(id=section), attr=field):
-                if section not in _SECTIONS:
-                    raise fault(f"no section {section!r} in the settings")
-                found = getattr(getattr(self.settings.deployment, section), field, None)
-                if not isinstance(found, int | float):
-                    raise fault(f"no figure {section}.{field} in the settings")
-                return found
+                try:
+                    return self.setting(section, field)
+                except KeyError as error:
+                    raise fault(str(error.args[0])) from None
             case ast.Name(id="count"):
                 return self.settings.deployment.count
             case ast.BinOp(left=left, op=op, right=right) if type(op) in _BINARY:
@@ -179,6 +191,12 @@
                     return _BINARY[type(op)](a, b)
                 except (ZeroDivisionError, OverflowError) as error:
                     raise fault(str(error)) from None
+            case ast.Name(id=other):
+                raise fault(f"unknown name {other!r}")
+        return self._walk_operators(node, name, where)
+
+    def _walk_operators(self, node: ast.expr, name: str, where: str) -> Any:
+        match node:
             case ast.UnaryOp(op=ast.USub(), operand=inner):
                 return -self.number(inner, name, where)
             case ast.UnaryOp(op=ast.Not(), operand=inner):
@@ -196,9 +214,16 @@
                 call in _FUNCTIONS and args
             ):
                 return _FUNCTIONS[call](*(self.number(a, name, where) for a in args))
-            case ast.Name(id=other):
-                raise fault(f"unknown name {other!r}")
-        raise fault("not part of the language")
+        raise PolicyError(f"{where}:{node.col_offset + 1}: {name}: not part of the language")
+
+    def setting(self, section: str, field: str) -> float:
+        """A figure of the platform's settings; KeyError with the reason if there is none."""
+        if section not in _SECTIONS:
+            raise KeyError(f"no section {section!r} in the settings")
+        found = getattr(getattr(self.settings.deployment, section), field, None)
+        if not isinstance(found, int | float):
+            raise KeyError(f"no figure {section}.{field} in the settings")
+        return found
 
     def number(self, node: ast.expr, name: str, where: str) -> float:
         value = self.walk(node, name, where)
@@ -218,6 +243,7 @@
         name, equals, expression = (piece.strip() for piece in body.partition("="))
         if not equals or not expression:
             raise PolicyError(f"{file}:{number}: expected 'name = expression'")
+        name = RENAMED.get(name, name)
         if name not in FIGURES:
             raise PolicyError(f"{file}:{number}: unknown figure {name!r}")
         if name in given:
@@ -226,12 +252,12 @@
         sources[name] = (expression, f"{file}:{number}")
     evaluator = _Evaluator(settings, sources)
     policy = Policy({name: evaluator.figure(name) for name in FIGURES})
-    most = blind_most(settings.deployment.workers)
-    if policy.blind > most:
+    most = longest_evidence_age(settings.deployment.workers)
+    if policy.max_evidence_age > most:
         # Renewed until then, a lease would keep cancelled tasks beyond what users are told.
         raise PolicyError(
-            f"{sources['blind'][1]}: blind: {policy.blind:g} s and a lease go beyond cancel_s,"
-            f" at most {most:g}"
+            f"{sources['max_evidence_age'][1]}: max_evidence_age: {policy.max_evidence_age:g} s"
+            f" and a lease go beyond cancel_s, at most {most:g}"
         )
     return policy
 
