--- a/pitchtally/settings.py
+++ b/pitchtally/settings.py
@@ -14,17 +14,23 @@
 
 
 class Member(Struct, frozen=True):
+    """Another controller of the deployment."""
+
     name: str = field(name="node_name")
     address: str
     zone: str = field(name="domain", default="")
 
 
 class Endpoints(Struct, frozen=True):
+    """Where the cloud and the state service listen."""
+
     cloud: str
     state: str
 
 
 class Team(Struct, frozen=True):
+    """A team's guarantee and limit; 0: none."""
+
     name: str
     cpus: float = 0.0
     cpus_max: float = 0.0
@@ -33,6 +39,8 @@
 
 
 class Objective(Struct, frozen=True):
+    """An aim of the users."""
+
     kind: str
     job_class: str | None = field(name="class", default=None)
     within_s: float | None = None
@@ -43,6 +51,8 @@
 
 
 class WorkerTimes(Struct, frozen=True):
+    """Intervals, leases and patience of the workers, in seconds."""
+
     report_s: float
     lease_s: float
     gang_wait_s: float = 30.0
@@ -51,6 +61,8 @@
 
 
 class StateLimits(Struct, frozen=True):
+    """Limits of the state service, for all nodes together."""
+
     rps: float = 100.0
     write_rps: float = 20.0
     value_kb: float = 8.0
@@ -58,17 +70,23 @@
 
 
 class CloudLimits(Struct, frozen=True):
+    """Limits of the cloud's interface, for all nodes together."""
+
     rps: float = 2.0
     list_lag_s: float = 10.0
 
 
 class MachineLimits(Struct, frozen=True):
+    """What the machine that runs a controller allows it."""
+
     cores: float = 1.0
     mem_mb: float = 256.0
     max_connections: int = 800
 
 
 class Deployment(Struct, frozen=True):
+    """All that is alike for every controller of a deployment."""
+
     count: int
     workers: WorkerTimes
     zones: list[str] = field(default_factory=list)
@@ -81,6 +99,8 @@
 
 
 class Settings(Struct, frozen=True):
+    """One controller's settings file."""
+
     name: str = field(name="node_name")
     public_addr: str
     peer_bind: str
@@ -96,6 +116,7 @@
 
 
 def host_port(text: str) -> tuple[str, int]:
+    """An address as host and port; ValueError if it isn't one."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"{text!r} is not host:port")
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -42,11 +42,13 @@
 
 
 class NoLease(Exception):
-    pass
+    """The lease has ended: a new one is needed."""
 
 
 @dataclass(slots=True)
 class Write:
+    """A write, or a removal, within a transaction."""
+
     key: str
     value: bytes | None  # None: remove
     lease: int | None = None
@@ -124,12 +126,14 @@
         return self._decode(_revision, body).revision
 
     async def get(self, key: str) -> wire.StoredItem | None:
+        """One key; None if it is absent."""
         status, body = await self._call("GET", f"/store/{key}", priority=tokens.COMPLETIONS)
         if status == 404:
             return None
         return self._decode(_item, body)
 
     async def page(self, prefix: str, after: str | None) -> wire.StoredPage:
+        """A page of keys with a prefix, after a key."""
         since = f"&since={after}" if after else ""
         status, body = await self._call(
             "GET", f"/store?starts={prefix}{since}&limit=500", priority=tokens.LEASES
@@ -168,6 +172,7 @@
         raise StoreDown(f"status {status}: {answer[:100]!r}")
 
     async def grant(self, ttl: float) -> int:
+        """A new lease."""
         body = encode(wire.LeaseRequest(int(ttl * 1000)))
         status, answer = await self._call("POST", "/leases", body, priority=tokens.LEASES)
         if status != 200:
@@ -175,6 +180,7 @@
         return self._decode(_lease, answer).lease
 
     async def renew(self, lease: int) -> None:
+        """Renew a lease; NoLease if it has ended."""
         status, _ = await self._call("POST", f"/leases/{lease}/extend", priority=tokens.LEASES)
         if status == 404:
             raise NoLease
@@ -226,6 +232,7 @@
         self.fresh_at = -1e9  # a request sent at this time has confirmed the copy
 
     def listen(self, prefix: str, listener: Listener) -> None:
+        """Have a listener told of every change below a prefix."""
         self.listeners.append((self.PREFIX + prefix, listener))
 
     def version(self, key: str) -> int:
@@ -315,6 +322,7 @@
             await trio.sleep(delay)
 
     async def catch_up(self, revision: int, timeout: float) -> bool:
+        """Wait until the copy covers a revision; False if it doesn't in time."""
         with trio.move_on_after(timeout):
             while self.seen < revision:
                 await self.progress.wait()
--- a/pitchtally/tokens.py
+++ b/pitchtally/tokens.py
@@ -23,6 +23,8 @@
 
 
 class Bucket:
+    """A token bucket whose waiters are served by priority, then in order."""
+
     def __init__(self, rate: float, burst: float, now: Callable[[], float] = trio.current_time):
         self.rate = rate
         self.burst = max(1.0, burst)
@@ -38,6 +40,7 @@
         self._at = now
 
     def resize(self, rate: float) -> None:
+        """Change the rate, and the burst with it."""
         self._fill()
         self.rate = rate
         self.burst = max(1.0, rate)
@@ -54,6 +57,7 @@
         self._level = min(self._level, 0.0) - amount
 
     async def take(self, priority: int, amount: float = 1.0) -> None:
+        """Wait for tokens, and take them."""
         self._count += 1
         entry = (priority, self._count, amount)
         heapq.heappush(self._queue, entry)
--- a/pitchtally/wire.py
+++ b/pitchtally/wire.py
@@ -115,6 +115,8 @@
 
 
 class Redirect(Struct, omit_defaults=True):
+    """Which node a worker should report to."""
+
     report_to: str | None = field(name="steward", default=None)
 
 
@@ -128,6 +130,8 @@
 
 
 class MachineType(Struct):
+    """A machine type as the cloud offers it."""
+
     name: str = field(name="sku")
     cpus: float = field(name="vcpus")
     memory: float = field(name="memGb")
@@ -141,6 +145,8 @@
 
 
 class MachineTypes(Struct):
+    """The cloud's offer."""
+
     types: list[MachineType] = field(name="presses")
 
 
@@ -157,11 +163,15 @@
 
 
 class MachineList(Struct):
+    """A page of the cloud's list."""
+
     machines: list[Listed] = field(name="vats")
     more: bool = field(name="truncated", default=False)
 
 
 class Hire(Struct):
+    """A request for machines."""
+
     request: str = field(name="hire")
     type: str = field(name="press")
     zone: str = field(name="parcel")
@@ -170,16 +180,22 @@
 
 
 class Names(Struct):
+    """Names of machines."""
+
     machines: list[str] = field(name="vats")
 
 
 class StoredItem(Struct):
+    """A key of the state service with its value and version."""
+
     key: str = field(name="path")
     value: msgspec.Raw = field(name="v")
     version: int = field(name="stamp")
 
 
 class StoredPage(Struct):
+    """A page of keys."""
+
     items: list[StoredItem]
     revision: int = field(name="ledger")
     more: bool = field(name="truncated", default=False)
@@ -195,38 +211,54 @@
 
 
 class Events(Struct):
+    """Changes after a revision."""
+
     revision: int = field(name="ledger")
     events: list[Event] = field(name="log", default_factory=list)
 
 
 class Revision(Struct):
+    """The store's revision, and conditions that failed."""
+
     revision: int = field(name="ledger")
     failed: list[str] = field(default_factory=list)
 
 
 class Condition(Struct):
+    """The version that a key must have; 0: absent."""
+
     key: str = field(name="path")
     version: int = field(name="stamp")
 
 
 class Put(Struct, omit_defaults=True):
+    """A write within a transaction."""
+
     key: str = field(name="write")
     value: msgspec.Raw = field(name="v")
     lease: int | None = field(name="permit", default=None)
 
 
 class Delete(Struct):
+    """A removal within a transaction."""
+
     key: str = field(name="remove")
 
 
 class Transaction(Struct):
+    """Conditions and changes, all or nothing."""
+
     conditions: list[Condition] = field(name="if")
     changes: list[Put | Delete] = field(name="writes")
 
 
 class LeaseGrant(Struct):
+    """A lease that the store has granted."""
+
     lease: int = field(name="permit")
 
 
 class LeaseRequest(Struct):
+    """A request for a lease."""
+
     ttl_ms: int = field(name="ttlMs")
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -87,6 +87,7 @@
         *,
         timeout: float,
     ) -> Response:
+        """A call over a real socket."""
         return await self.client.call(address, method, target, body, timeout=timeout)
 
 
@@ -98,6 +99,7 @@
         self.state = state
 
     def get(self, key: str, default: Any = None) -> Any:
+        """A job's description, if there is such a job."""
         return self[key] if key in self or f"pt/jobs/{key}" in self.state.items else default
 
     def __missing__(self, key: str) -> dict[str, Any]:
@@ -109,6 +111,7 @@
 
 
 def write_settings(folder: Path) -> None:
+    """A settings file for each controller."""
     folder.mkdir(parents=True, exist_ok=True)
     for n in range(NODES):
         members = "\n".join(
@@ -129,6 +132,7 @@
 
 
 async def main(folder: Path) -> None:
+    """Serve the stand-ins until ended."""
     write_settings(folder)
     network, state = Loopback(), State()
     nodes = [(f"node-{n}", ("127.0.0.1", FIRST + 2 * n)) for n in range(NODES)]
--- a/standins/state.py
+++ b/standins/state.py
@@ -17,6 +17,8 @@
 
 
 class State:
+    """The store: keys with versions, leases, watches, and outages on demand."""
+
     def __init__(self) -> None:
         self.revision = 0
         self.items: dict[str, tuple[Any, int, int | None]] = {}
@@ -28,6 +30,7 @@
         self.refuses: set[str] = set()  # hosts that get 503 while others are served
 
     def stop(self) -> None:
+        """Begin an outage."""
         self.down = True
 
     def resume(self) -> None:
@@ -63,12 +66,14 @@
             self._wake()
 
     async def run(self) -> None:
+        """End leases in time."""
         while True:
             await trio.sleep(0.1)
             if not self.down:
                 self._expire()
 
     async def handle(self, request: Request) -> Response:
+        """Answer a request."""
         if self.down or CALLER.get() in self.refuses:
             return _answer(503, {"error": "trouble"})
         self._expire()
@@ -109,6 +114,7 @@
         return _answer(200, {"path": key, "v": value, "stamp": version})
 
     def commit(self, body: dict[str, Any]) -> Response:
+        """Carry a transaction out, all or nothing."""
         for write in body["writes"]:
             if write.get("permit") is not None and write["permit"] not in self.leases:
                 return _answer(400, {"error": "no such lease"})
@@ -130,6 +136,7 @@
         return _answer(200, {"ledger": self.revision})
 
     async def follow(self, query: dict[str, str]) -> Response:
+        """Wait for changes after a revision."""
         prefix, since = query["starts"], int(query["since"])
         end = trio.current_time() + int(query.get("waitMs", "0")) / 1000
         if self.log and self.log[0][0] > since + 1 and len(self.log) >= self.kept:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -39,9 +39,11 @@
 
     @property
     def active(self) -> bool:
+        """Whether the task has not ended yet."""
         return self.state != ENDED
 
     def as_row(self, name: str) -> dict[str, Any]:
+        """The task as a report lists it."""
         row = {"row": name, "pressing": self.attempt, "stage": self.state}
         if not self.active:
             row["cause"] = self.cause
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pitchtally import wire
-from pitchtally.control.api import Invalid, check_runnable, parse_job
+from pitchtally.control.submission import Invalid, check_runnable, parse_job
 
 from .sim import job, settings
 
--- a/tests/test_blame.py
+++ b/tests/test_failure_attribution.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from pitchtally.control.blame import Standing, sick, standing
+from pitchtally.control.failure_attribution import Standing, is_unhealthy, standing
 
 from .sim import Sim, job, run
 
@@ -43,7 +43,7 @@
 @pytest.mark.parametrize(("failures", "found"), SICK)
 def test_sickness_of_a_machine(failures: dict[str, tuple[int, Standing]], found: bool) -> None:
     counts = {id: n for id, (n, _) in failures.items()}
-    assert sick(counts, {id: s for id, (_, s) in failures.items()}) is found
+    assert is_unhealthy(counts, {id: s for id, (_, s) in failures.items()}) is found
 
 
 def test_broken_jobs_cause_no_storm_and_blame_no_machine(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,10 +12,11 @@
 import trio.testing
 
 from pitchtally import policy, tokens, wire
+from pitchtally.control.capacity import share_of
 from pitchtally.control.jobs import OPEN, Job, Record
 from pitchtally.control.machines import Placement
-from pitchtally.control.members import Heartbeat, Owner, part_of
-from pitchtally.control.rooms import share_of
+from pitchtally.control.members import Owner, part_of
+from pitchtally.control.messages import Heartbeat
 from pitchtally.control.service import Controller
 from pitchtally.http import Client, Request, Response, Server
 from pitchtally.settings import Team
@@ -127,7 +128,7 @@
 
 
 def _spec(number: int, cpus: float) -> wire.JobSpec:
-    from pitchtally.control.api import parse_job
+    from pitchtally.control.submission import parse_job
 
     return parse_job(json.dumps(job(number, rows=50, vcpus=cpus)).encode())
 
@@ -306,22 +307,22 @@
         owner = _owner_of(0, 50)
         members, workers = owner.members, owner.workers
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(members.run_clock)
+            nursery.start_soon(members.run_pause_detector)
             await workers.serve(_report(0, 1, 50, []))
             await trio.sleep(1)
             members.replica.fresh_at = trio.current_time()
-            assert members.sure_leader() == 50
+            assert members.confirmed_leader() == 50
             mock.jump(TIMES.lease_s * 3)
             at = trio.current_time()
-            assert members.stood_at() == at
-            assert members.sure_leader() is None  # another may lead by now
+            assert members.resumed_at() == at
+            assert members.confirmed_leader() is None  # another may lead by now
             # What wasn't listened to wasn't silent.
             assert not workers.machines["i-000000"].lost
             nursery.start_soon(workers.run_expiry)
             await trio.sleep(TIMES.report_s)
             assert not workers.machines["i-000000"].lost
             members.replica.fresh_at = trio.current_time()
-            assert members.sure_leader() == 50
+            assert members.confirmed_leader() == 50
             # Now that the store vouches for us, the lease is known to be over.
             await trio.sleep(TIMES.report_s)
             assert workers.machines["i-000000"].lost
@@ -406,11 +407,11 @@
             name = f"i-{number * 3:06d}"
             owner.workers._add(name, "big", "a", False, "10.1.0.1:9000")
             hold.suspects.add(name)
-        assert owner.split.teams.room(0, _spec(1, 2.0)) == room
+        assert owner.split.teams.tasks_within_limit(0, _spec(1, 2.0)) == room
         owner.fleet.types.clear()
         for machine in owner.workers.machines.values():
             machine.kind = None
-        assert owner.split.teams.room(0, _spec(1, 2.0)) == (0 if unheard else room)
+        assert owner.split.teams.tasks_within_limit(0, _spec(1, 2.0)) == (0 if unheard else room)
 
     trio.run(main, clock=trio.testing.MockClock())
 
@@ -427,7 +428,7 @@
             written.extend(changes)
             return True
 
-        owner.book.commit = commit  # type: ignore[method-assign]
+        owner.job_store.commit = commit  # type: ignore[method-assign]
         for number in range(0, 930, 3):
             await owner.workers.serve(_report(number, 1, 50, []))
         await owner.workers.records._write(owner.workers.parts[0])
@@ -508,8 +509,8 @@
         assert owner.members.token(1) == 50
 
         def told(number: int, tokens: list[tuple[int, int]]) -> None:
-            beat = Heartbeat("n1", "x", number, 0, 0.0, 0.0, [], [], [], [], tokens)
-            owner.members._take_beat(beat, None)
+            heartbeat = Heartbeat("n1", "x", number, 0, 0.0, 0.0, [], [], [], [], tokens)
+            owner.members._take_heartbeat(heartbeat, None)
 
         told(1, [(1, 49), (2, 80)])
         assert owner.members.token(1) == 50
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -16,12 +16,13 @@
 from pitchtally.control.evidence import (
     NEVER,
     Answer,
-    blind_most,
     cancellations_known,
     lease_over,
+    longest_evidence_age,
     owned_alone,
 )
-from pitchtally.control.members import Cancellation, Heartbeat, Peer
+from pitchtally.control.messages import Cancellation, Heartbeat
+from pitchtally.control.peer import Peer
 from pitchtally.settings import WorkerTimes
 
 from .sim import Sim, job, run, settings
@@ -81,86 +82,128 @@
 ]
 
 
-@pytest.mark.parametrize("site", SITES)
-@pytest.mark.parametrize("gap", GAPS, ids=lambda g: "-".join(str(v) for v in g))
-def test_cancelled_tasks_are_gone_in_time(
-    gap: Gap, site: str, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    times = SITES[site]
+JOBS = ("wk-000001", "wk-000002", "wk-000003")
+LONG = {"realS": 900.0, "ripenS": 900.0, "vcpus": 1.0}
+RESTART_AFTER = 0.3
+CUT_FOR = 20.0
 
-    async def withdraw(sim: Sim, node: int, id: str) -> None:
-        sim.oracle.asked_cancel.add(id)
-        answer = await sim.ask(node, "POST", f"/api/jobs/{id}/cancel", about=id)
-        assert answer == (200, "withdrawn")
 
-    async def day(sim: Sim) -> None:
-        confirmer, other = f"n{gap.confirmer}", f"n{3 - gap.confirmer}"
-        long = {"realS": 900.0, "ripenS": 900.0, "vcpus": 1.0}
+class GapDay:
+    """The steps of one day: which jobs are doomed, and who is cut off from whom."""
+
+    def __init__(self, sim: Sim, gap: Gap) -> None:
+        self.sim = sim
+        self.gap = gap
+        self.confirmer, self.other = f"n{gap.confirmer}", f"n{3 - gap.confirmer}"
+        self.doomed = [JOBS[0]]
+
+    async def begin(self) -> None:
+        """Jobs that last; then the store refuses the leader, and links break."""
+        sim, gap = self.sim, self.gap
         for number in (1, 2, 3):
-            await sim.submit(job(number, rows=6, **long))
-        with trio.fail_after(times.lease_s * 2):
+            await sim.submit(job(number, rows=6, **LONG))
+        with trio.fail_after(sim.times.lease_s * 2):
             while len(sim.world.rules.places) < 18:
                 await trio.sleep(0.1)
         assert sim.controllers["n0"].members.leading is not None
         sim.state.refuses.add("n0")
-        doomed = ["wk-000001"]
         if gap.job == "new":
-            await sim.submit(job(4, rows=12, **long))
-            doomed.append("wk-000004")
+            await sim.submit(job(4, rows=12, **LONG))
+            self.doomed.append("wk-000004")
             await trio.sleep(1.0)
         if gap.way == "refused":
-            sim.network.refused |= {(confirmer, "n0"), ("n0", confirmer)}
+            sim.network.refused |= {(self.confirmer, "n0"), ("n0", self.confirmer)}
         elif gap.way == "held":
-            sim.network.hold(confirmer, "n0")
+            sim.network.hold(self.confirmer, "n0")
         if not gap.third:
-            sim.network.cut(confirmer, other)
-        for id in doomed:
-            if gap.repeat:
-                # Committed, but the answer never reaches the user, nor a message any peer.
-                sim.network.cut(confirmer, "n0")
-                sim.network.cut(confirmer, other)
-                sim.oracle.asked_cancel.add(id)
-                await sim.call(gap.confirmer, "POST", f"/api/jobs/{id}/cancel")
-                sim.network.cuts.clear()
-                await trio.sleep(0.5)
-                await withdraw(sim, 3 - gap.confirmer, id)
+            sim.network.cut(self.confirmer, self.other)
+
+    async def cancel(self) -> None:
+        """The doomed jobs are cancelled, and confirmed."""
+        for id in self.doomed:
+            if self.gap.repeat:
+                await self._lose_confirmation(id)
+                await self._withdraw(3 - self.gap.confirmer, id)
             else:
-                await withdraw(sim, gap.confirmer, id)
+                await self._withdraw(self.gap.confirmer, id)
+
+    async def _lose_confirmation(self, id: str) -> None:
+        """Committed, but the answer never reaches the user, nor a message any peer."""
+        sim = self.sim
+        sim.network.cut(self.confirmer, "n0")
+        sim.network.cut(self.confirmer, self.other)
+        sim.oracle.asked_cancel.add(id)
+        await sim.call(self.gap.confirmer, "POST", f"/api/jobs/{id}/cancel")
+        sim.network.cuts.clear()
+        await trio.sleep(0.5)
+
+    async def _withdraw(self, node: int, id: str) -> None:
+        self.sim.oracle.asked_cancel.add(id)
+        answer = await self.sim.ask(node, "POST", f"/api/jobs/{id}/cancel", about=id)
+        assert answer == (200, "withdrawn")
+
+    async def outage(self) -> None:
+        """The store goes away for longer than `cancel_s`; the confirmer may end before or in it."""
+        sim, gap = self.sim, self.gap
         if gap.ends == "before":
-            sim.kill(confirmer)
+            sim.kill(self.confirmer)
             await trio.sleep(0.2)
-            sim.start(confirmer)
+            sim.start(self.confirmer)
             await trio.sleep(0.5)
         await trio.sleep(0.3)
         sim.state.stop()
         assert sim.controllers["n0"].members.leading is not None
         if gap.ends in ("in", "gone"):
             await trio.sleep(3.0)
-            sim.kill(confirmer)
+            sim.kill(self.confirmer)
             if gap.ends == "in":
-                await trio.sleep(0.3)
-                sim.start(confirmer)
-        await trio.sleep(20.0)
+                await trio.sleep(RESTART_AFTER)
+                sim.start(self.confirmer)
+        await trio.sleep(CUT_FOR)
         sim.network.deliver()
-        await trio.sleep(times.cancel_s + 2.0 - 20.0)
-        left = {task.rpartition("/")[0] for task in sim.world.rules.places}
-        assert not left & set(doomed)
-        sim.check()
-        if gap.heard:
+        await trio.sleep(sim.times.cancel_s + 2.0 - CUT_FOR)
+
+    def check_gone(self) -> None:
+        """Nothing of what was cancelled is left; all else is, if the leader heard everybody."""
+        left = self._left()
+        assert not left & set(self.doomed)
+        self.sim.check()
+        if self.gap.heard:
             # Nobody is missing: the leader knows all there is to know, and all else goes on.
-            assert sim.world.rules.leases_over == 0
+            assert self.sim.world.rules.leases_over == 0
             assert left >= {"wk-000002", "wk-000003"}
+
+    def _left(self) -> set[str]:
+        return {task.rpartition("/")[0] for task in self.sim.world.rules.places}
+
+    async def afterwards(self) -> None:
+        """All troubles are over: every job is known, and no doomed one runs again."""
+        sim = self.sim
         sim.state.resume()
         sim.state.refuses.clear()
         sim.network.heal()
-        if gap.ends == "gone":
-            sim.start(confirmer)
-        await sim.known(["wk-000001", "wk-000002", "wk-000003"], within=30)
-        await trio.sleep(times.lease_s * 2)
-        assert not {t.rpartition("/")[0] for t in sim.world.rules.places} & set(doomed)
+        if self.gap.ends == "gone":
+            sim.start(self.confirmer)
+        await sim.known(list(JOBS), within=30)
+        await trio.sleep(sim.times.lease_s * 2)
+        assert not self._left() & set(self.doomed)
         sim.check()
 
-    run(monkeypatch, day, times=times)
+
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("gap", GAPS, ids=lambda g: "-".join(str(v) for v in g))
+def test_cancelled_tasks_are_gone_in_time(
+    gap: Gap, site: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def day(sim: Sim) -> None:
+        steps = GapDay(sim, gap)
+        await steps.begin()
+        await steps.cancel()
+        await steps.outage()
+        steps.check_gone()
+        await steps.afterwards()
+
+    run(monkeypatch, day, times=SITES[site])
 
 
 A = Answer
@@ -185,17 +228,21 @@
 
 
 @pytest.mark.parametrize("site", SITES)
-def test_blind_and_a_lease_end_within_cancel_s(site: str) -> None:
+def test_evidence_age_and_a_lease_end_within_cancel_s(site: str) -> None:
     """The edge: an owner that learns nothing renews last at c + blind, the worker counts on."""
     times = SITES[site]
     rules = policy.parse("", settings("n0", times))
-    assert 0 < rules.blind < blind_most(times)
-    assert lease_over(blind_most(times), times) <= times.cancel_s
-    assert lease_over(blind_most(times) * 1.01, times) > times.cancel_s
-    at_most = f"blind = {blind_most(times):.6f} - 0.001"
-    assert policy.parse(at_most, settings("n0", times)).blind > rules.blind
-    with pytest.raises(policy.PolicyError, match=r"p.conf:1: blind: .* beyond cancel_s"):
-        policy.parse(f"blind = {blind_most(times) + 0.01}", settings("n0", times), "p.conf")
+    assert 0 < rules.max_evidence_age < longest_evidence_age(times)
+    assert lease_over(longest_evidence_age(times), times) <= times.cancel_s
+    assert lease_over(longest_evidence_age(times) * 1.01, times) > times.cancel_s
+    at_most = f"max_evidence_age = {longest_evidence_age(times):.6f} - 0.001"
+    assert policy.parse(at_most, settings("n0", times)).max_evidence_age > rules.max_evidence_age
+    with pytest.raises(policy.PolicyError, match=r"p.conf:1: max_evidence_age: .* beyond cancel_s"):
+        policy.parse(
+            f"max_evidence_age = {longest_evidence_age(times) + 0.01}",
+            settings("n0", times),
+            "p.conf",
+        )
 
 
 def _beat(incarnation: str, number: int, seen: int = 5) -> Heartbeat:
@@ -219,9 +266,9 @@
 ]
 
 
-@pytest.mark.parametrize(("beats", "listed", "taken"), ORDERS)
+@pytest.mark.parametrize(("heartbeats", "listed", "taken"), ORDERS)
 def test_heartbeats_have_an_order(
-    beats: list[tuple[str, int, float | None]], listed: str, taken: list[bool]
+    heartbeats: list[tuple[str, int, float | None]], listed: str, taken: list[bool]
 ) -> None:
     """One second lies between each and the next."""
 
@@ -229,7 +276,7 @@
         peer = Peer("n1", "10.0.0.1:8081")
         found = []
         start = trio.current_time()
-        for incarnation, number, asked in beats:
+        for incarnation, number, asked in heartbeats:
             asked_at = None if asked is None else start + asked
             found.append(peer.renews(_beat(incarnation, number), asked_at, listed))
             await trio.sleep(1.0)
@@ -253,7 +300,7 @@
         await trio.sleep(sim.times.cancel_s * 2 + 10)
         sim.network.cuts.clear()  # peers again, the store still out
         await trio.sleep(sim.times.lease_s * 2)
-        job_ = sim.controllers["n0"].book.jobs["wk-000001"]
+        job_ = sim.controllers["n0"].job_store.jobs["wk-000001"]
         assert not job_.open
         assert not sim.world.rules.places
         sim.state.refuses.clear()
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -45,7 +45,7 @@
         owner.workers.fill = watched
         at = trio.current_time()
         await trio.sleep(40)
-        # Reports come every five seconds or more; the second unheeded answer tells.
+        # Reports come every five seconds or more; the second unacknowledged answer tells.
         assert all(not n for t, n in orders if t - at > 25)
         assert len([1 for _, n in orders if n]) <= 3
         assert name in sim.world.released
@@ -90,7 +90,7 @@
                 machine.lost,
                 machine.confirmed,
                 sorted(machine.placements),
-                machine.unheeded,
+                machine.unacknowledged,
                 name in controller.workers.released,
             )
         )
@@ -195,7 +195,7 @@
         for peer, heard in zip(members.peers.values(), peers, strict=True):
             if heard is not None:
                 peer.answer = Answer(heard[0], heard[1], heard[1])
-        assert members.sure_at() == sure
+        assert members.cancellations_known_at() == sure
 
     trio.run(main, clock=trio.testing.MockClock())
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,11 +11,12 @@
 import trio.testing
 
 from pitchtally import policy, tokens, wire
-from pitchtally.control import jobs, members
-from pitchtally.control.api import Acceptances, Pending, parse_job
+from pitchtally.control import jobs, messages
+from pitchtally.control.acceptance import Acceptances, Pending
 from pitchtally.control.jobs import Bits, Job, Record
-from pitchtally.control.members import Cancellation, Heartbeat, MachineNote, PartNote
+from pitchtally.control.messages import Cancellation, Heartbeat, MachineStatus, PartStatus
 from pitchtally.control.service import Controller
+from pitchtally.control.submission import parse_job
 from pitchtally.store import Write
 
 from .sim import job, settings
@@ -43,7 +44,7 @@
 
 def job_record(controller: Controller) -> int:
     """A wide job in as many ranges as moves make, with its finished set inside."""
-    chunk = controller.book.chunk
+    chunk = controller.job_store.chunk
     ranges = [(i * 1000, i * 1000 + 1000, i % 3) for i in range(43)]
     bits = Bits(chunk)
     bits.join(b"\xff" * (chunk // 8))
@@ -52,11 +53,11 @@
 
 def finished_chunk(controller: Controller) -> int:
     """One piece of the finished set of a job with 100,000 tasks."""
-    book = controller.book
-    wide = Job("wk-1", Record(jobs.OPEN, 100_000, _spec(100_000)), 1, book.chunk)
+    job_store = controller.job_store
+    wide = Job("wk-1", Record(jobs.OPEN, 100_000, _spec(100_000)), 1, job_store.chunk)
     assert wide.chunked
     wide.local = set(range(100_000 - 1))
-    return max(len(change.value or b"") for change in book._changes(wide))
+    return max(len(change.value or b"") for change in job_store._changes(wide))
 
 
 def shares(controller: Controller) -> int:
@@ -87,18 +88,18 @@
     return len(msgspec.json.encode(wire.Orders(2**40, [each] * 500)))
 
 
-def beat(controller: Controller) -> int:
+def heartbeat(controller: Controller) -> int:
     """What a node that owns all parts tells a peer."""
-    machine = MachineNote("i-000000001", LONG, LONG, False, (1.1,) * 3, (1.1,) * 3, 64, 1.1, "")
+    machine = MachineStatus("i-000000001", LONG, LONG, False, (1.1,) * 3, (1.1,) * 3, 64, 1.1, "")
     matrix = [(LONG, [[[100_000] * 8] * 6] * 16)] * 20
     waiting = {f"wk-{n:06d}": 800 for n in range(1500)}
     parts = [
-        PartNote(k, 10**12, True, 1.0, 1.0, [machine] * 310, matrix, waiting) for k in range(3)
+        PartStatus(k, 10**12, True, 1.0, 1.0, [machine] * 310, matrix, waiting) for k in range(3)
     ]
     names = [f"i-{n:09d}" for n in range(930)]
     cancelled = [Cancellation(id, 10**12, 100_000, 100_000) for id in waiting]
     told = Heartbeat("n", "i", 10**9, 10**12, 1.0, 1.0, cancelled, parts, names, names)
-    return len(members._encode(told))
+    return len(messages.encode(told))
 
 
 LIMITS: list[tuple[Callable[[Controller], int], int]] = [
@@ -108,7 +109,7 @@
     (shares, 8 * KIB),
     (acceptances, 64 * KIB),
     (orders, 64 * KIB),
-    (beat, 4 * KIB * KIB),
+    (heartbeat, 4 * KIB * KIB),
 ]
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -9,10 +9,10 @@
 import trio.testing
 
 from pitchtally import tokens
+from pitchtally.control.capacity import fits, plan_gang, times
 from pitchtally.control.holdings import Pool
 from pitchtally.control.jobs import Bits, merge
 from pitchtally.control.members import part_of, preference
-from pitchtally.control.rooms import fits, plan_rooms, times
 
 
 def test_bits_join_at_any_offset() -> None:
@@ -96,7 +96,7 @@
     ],
 )
 def test_plan_rooms(tasks: int, one_zone: bool, spread: bool, fits_: bool) -> None:
-    plan = plan_rooms(ROOMS, tasks, one_zone=one_zone, spread=spread)
+    plan = plan_gang(ROOMS, tasks, one_zone=one_zone, spread=spread)
     assert (plan is not None) == fits_
     if plan is None:
         return
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -66,7 +66,9 @@
         ("session_ttl = workers.lease_s / 2", "session_ttl", 5.0),
         ("period = min(3, workers.report_s * 4) # comment", "period", 3.0),
         ("period = 7 if state.rps > 1000 else 2 + 1", "period", 3.0),
-        ("beat = -(-0.5)\n\nperiod = beat * 4", "period", 2.0),
+        ("heartbeat_interval = -(-0.5)\n\nperiod = heartbeat_interval * 4", "period", 2.0),
+        ("beat = -(-0.5)\n\nperiod = beat * 4", "period", 2.0),  # a name of earlier versions
+        ("blind = 1.5", "max_evidence_age", 1.5),
         ("bound = 1 + (not 2 > 3 and 1 < 2) * 1 if count == 9 else 3", "bound", 3.0),
     ],
 )
@@ -91,7 +93,7 @@
         ("period = 1 / 0", "division"),
         ("period = 9 > 3", "must be a number"),
         ("period = -1", "outside"),
-        ("period = beat\nbeat = period", "refers to itself"),
+        ("period = heartbeat_interval\nbeat = period", "refers to itself"),
         ("period = True + 1", "must be a number"),
     ],
 )
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,7 +24,7 @@
 
 
 def test_no_start_on_evidence_older_than_a_session(monkeypatch: pytest.MonkeyPatch) -> None:
-    """An owner that can't have heard of a cancellation began its tasks for as long as `blind`."""
+    """An owner that can't have heard of a cancellation began its tasks for much longer."""
 
     async def day(sim: Sim) -> None:
         await sim.submit(job(1, rows=600, vcpus=1.0, realS=1.0, ripenS=1.0))
@@ -85,7 +85,7 @@
         waiting = 0
         for controller in sim.controllers.values():
             for part, work in controller.split.parts.work.items():
-                ranges = controller.book.jobs[bound["ref"]].record.ranges
+                ranges = controller.job_store.jobs[bound["ref"]].record.ranges
                 if work.settled or not any(p == part for _, _, p in ranges):
                     continue
                 waiting += 1
