--- a/pitchtally/control/capacity.py
+++ b/pitchtally/control/capacity.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from .. import wire
-from .jobs import Job
+from .jobs import Job, TaskRange
 from .machines import Need, Placement, need_of
 
 RANK = {rank: i for i, rank in enumerate(wire.RANKS)}
@@ -38,7 +39,7 @@
 
 def covered(job: Job) -> bool:
     """Whether every task of the job is assigned to a part."""
-    return sum(b - a for a, b, _ in job.record.ranges) >= job.record.tasks
+    return sum(r.tasks for r in job.record.ranges) >= job.record.tasks
 
 
 def share_of(need: Need, kind: wire.MachineType) -> float:
@@ -74,7 +75,7 @@
 class Plan(NamedTuple):
     """Who gets a job's tasks, and what binds gangs over several parts."""
 
-    ranges: list[tuple[int, int, int]]
+    ranges: list[TaskRange]
     zone: str | None = None
     attempt: int = 0
     caps: list[tuple[int, str, int]] = []
@@ -82,10 +83,14 @@
 
 NOBODY = Plan([])
 
-# How a gang may get its room: what is free, what lower ranks hold as well, and what
-# teams beyond their guarantee hold as well; or, after a long wait, whatever comes free
-# first, kept for it meanwhile.
-FREE, YIELDING, OVER, KEPT = range(4)
+
+class CapacitySource(IntEnum):
+    """What a gang may take its room from, in the order in which it is tried."""
+
+    FREE = 0
+    YIELDING = 1  # what lower ranks hold as well
+    OVER_GUARANTEE = 2  # what teams beyond their guarantee hold as well
+    KEPT = 3  # after a long wait: whatever comes free first, kept for it meanwhile
 
 
 def plan_gang(
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -12,10 +12,7 @@
 from .. import wire
 from ..store import StoreDown
 from .capacity import (
-    FREE,
-    KEPT,
-    OVER,
-    YIELDING,
+    CapacitySource,
     Plan,
     covered,
     fits,
@@ -26,7 +23,7 @@
 )
 from .component import SchedulerComponent
 from .holdings import Holding, PartWork
-from .jobs import Bits, Job, merge
+from .jobs import Bits, Job, TaskRange, merge
 from .machines import Machine, Need, need_of
 from .messages import MachineFlag, PartStatus
 
@@ -38,6 +35,8 @@
 # Pieces that a job's record may fall into: it has to fit into one value of the store.
 RANGES = 40
 # Machines that are expected to be of use again, whether they are heard or not.
+# Sources that take preemption.
+BY_PREEMPTION = (CapacitySource.YIELDING, CapacitySource.OVER_GUARANTEE)
 UP_FLAGS = frozenset({MachineFlag.USABLE, MachineFlag.LOST, MachineFlag.UNHEARD})
 
 
@@ -278,15 +277,15 @@
             row for row in self.booked if now - row[0] < self.policy.heartbeat_interval * 3
         ]
         under = self.split.teams.under(spec)
-        modes = [FREE]
+        sources = [CapacitySource.FREE]
         if spec.rank != wire.RANKS[-1]:
-            modes.append(YIELDING)
+            sources.append(CapacitySource.YIELDING)
         if under and len(self.split.teams.known) > 1:
-            modes.append(OVER)
+            sources.append(CapacitySource.OVER_GUARANTEE)
         if job is not None and self.split.order.late(job) and self._may_keep(job.id, now):
-            modes.append(KEPT)
-        for mode in modes:
-            rooms = self._free_capacity(spec, mode)
+            sources.append(CapacitySource.KEPT)
+        for source in sources:
+            rooms = self._free_capacity(spec, source)
             found = plan_gang(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
             if found is None:
                 continue
@@ -296,21 +295,21 @@
             ranges, first = [], 0
             for part in parts:
                 n = sum(count for (p, _), count in found.items() if p == part)
-                ranges.append((first, first + n, part))
+                ranges.append(TaskRange(first, first + n, part))
                 first += n
             attempt = 0
             if len(parts) > 1:
                 self.counter += 1
                 attempt = (token << 24) + (1 << 23) + self.counter
-            if mode == KEPT:
+            if source is CapacitySource.KEPT:
                 self.keeping = (spec.id, now)
             zones = {zone for _, zone in found}
             log.info(
-                "gang planned job=%s parts=%d attempt=%d mode=%d",
+                "gang planned job=%s parts=%d attempt=%d source=%s",
                 spec.id,
                 len(parts),
                 attempt,
-                mode,
+                source.name,
             )
             return Plan(
                 ranges,
@@ -340,12 +339,14 @@
             log.info("gang waits for room job=%s part=%d zone=%s", spec.id, part, plan.zone)
         return plan
 
-    def _free_capacity(self, spec: wire.JobSpec, mode: int) -> dict[tuple[int, str], int]:
+    def _free_capacity(
+        self, spec: wire.JobSpec, source: CapacitySource
+    ) -> dict[tuple[int, str], int]:
         """Tasks that each part could start in each zone, less what was booked just now."""
         need = need_of(spec)
         rooms: dict[tuple[int, str], int] = {}
         for status in self.split.statuses.newest.values():
-            for zone, count in self._free_capacity_in(status, spec, mode).items():
+            for zone, count in self._free_capacity_in(status, spec, source).items():
                 rooms[(status.part, zone)] = count
         for _, key, (a, b, c), count in self.booked:
             if key in rooms:
@@ -354,7 +355,7 @@
         return rooms
 
     def _free_capacity_in(
-        self, status: PartStatus, spec: wire.JobSpec, mode: int
+        self, status: PartStatus, spec: wire.JobSpec, source: CapacitySource
     ) -> dict[str, int]:
         """Tasks that a part could start in each zone; worked out once a status and shape.
 
@@ -362,7 +363,7 @@
         """
         need = need_of(spec)
         known = self.split.statuses.zones.setdefault(status.part, {})
-        key = (mode, need, spec.types, spec.zone, spec.spot)
+        key = (source, need, spec.types, spec.zone, spec.spot)
         found = known.get(key)
         if found is not None:
             return found
@@ -376,12 +377,12 @@
                 if machine.flag:
                     continue
                 a, b, c = machine.free
-                if mode == KEPT and machine.name not in status.kept:
+                if source is CapacitySource.KEPT and machine.name not in status.kept:
                     a, b, c = kind.cpus, kind.gpus, kind.memory
-                elif mode in (YIELDING, OVER) and machine.name not in status.kept:
+                elif source in BY_PREEMPTION and machine.name not in status.kept:
                     x, y, z = machine.yielding
                     a, b, c = a + x, b + y, c + z
-                    if mode == OVER:
+                    if source is CapacitySource.OVER_GUARANTEE:
                         x, y, z = machine.over
                         a, b, c = a + x, b + y, c + z
                 if fits(need, (a, b, c)):
@@ -416,7 +417,7 @@
         best = self.best_part(spec)
         if best is None:
             return None
-        ranges = [(0, spec.tasks, best)]
+        ranges = [TaskRange(0, spec.tasks, best)]
         zone = self.pick_zone(spec, ranges)
         if zone is None and spec.one_zone and spec.tasks > 1:
             return None
@@ -466,7 +467,7 @@
             patience = self.report_s * 2
         return trio.current_time() - holding.since >= patience
 
-    def _without(self, job: Job, part: int) -> list[tuple[int, int, int]] | None:
+    def _without(self, job: Job, part: int) -> list[TaskRange] | None:
         """A job's ranges once a part has given its rest back; None if that must wait."""
         # What is done stays with the part that did it.
         rest = merge(
@@ -483,7 +484,7 @@
         # Too many pieces for a record: all of it goes, once what is done is durable.
         if job.local:
             return None
-        return [r for r in job.record.ranges if r[2] != part]
+        return [r for r in job.record.ranges if r.part != part]
 
     async def _give_back(self, work: PartWork, holding: Holding, token: int) -> None:
         job, part = holding.job, holding.part
@@ -510,7 +511,7 @@
                 holding.rebuild()
 
     @staticmethod
-    def _goes_on(job: Job, ranges: list[tuple[int, int, int]]) -> bool:
+    def _goes_on(job: Job, ranges: list[TaskRange]) -> bool:
         """Whether a task in these ranges may be on a machine, or be started by its part."""
         return any(not job.is_finished(t) for a, b, _ in ranges for t in range(a, b))
 
@@ -528,12 +529,12 @@
             for task in range(first, end):
                 done.add(task)
         left = merge((t, t + 1, 0) for t in range(job.record.tasks) if t not in done)
-        count = sum(b - a for a, b, _ in left)
+        count = sum(r.tasks for r in left)
         rest = msgspec.structs.replace(job.spec, tasks=count)
         best = self.best_part(rest)
         if best is None:
             return
-        zone = self.pick_zone(rest, [(0, count, best)], bound=job.spec.tasks > 1)
+        zone = self.pick_zone(rest, [TaskRange(0, count, best)], bound=job.spec.tasks > 1)
         if zone is None and job.spec.one_zone:
             return
         log.info("rest of a job assigned job=%s tasks=%d part=%d", job.id, count, best)
@@ -547,7 +548,7 @@
         )
 
     def pick_zone(
-        self, spec: wire.JobSpec, ranges: list[tuple[int, int, int]], *, bound: bool | None = None
+        self, spec: wire.JobSpec, ranges: list[TaskRange], *, bound: bool | None = None
     ) -> str | None:
         """The zone for a one-zone job of several tasks, fixed before its first start."""
         if not spec.one_zone or not (spec.tasks > 1 if bound is None else bound):
--- a/pitchtally/control/hiring.py
+++ b/pitchtally/control/hiring.py
@@ -135,7 +135,7 @@
             for id, count in part.waiting.items():
                 waiting[id] = waiting.get(id, 0) + count
         for job in self.fleet.job_store.open.values():
-            unassigned = job.record.tasks - sum(b - a for a, b, _ in job.record.ranges)
+            unassigned = job.record.tasks - sum(r.tasks for r in job.record.ranges)
             if unassigned > 0:
                 waiting[job.id] = waiting.get(job.id, 0) + unassigned
         shapes: dict[tuple[object, ...], Demand] = {}
--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -13,6 +13,7 @@
 import bisect
 import logging
 from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
 
 import msgspec
 import trio
@@ -28,6 +29,19 @@
 CANCELLED = "withdrawn"
 
 
+class TaskRange(NamedTuple):
+    """Tasks of a job that a part has; stored as an array of three."""
+
+    first: int
+    end: int  # not included
+    part: int
+
+    @property
+    def tasks(self) -> int:
+        """How many tasks these are."""
+        return self.end - self.first
+
+
 class Record(Struct, omit_defaults=True):
     """A job as the state service keeps it."""
 
@@ -35,7 +49,7 @@
     tasks: int
     spec: wire.JobSpec | None = None  # dropped once the job is over
     at: float = 0.0  # time of day of acceptance
-    ranges: list[tuple[int, int, int]] = msgspec.field(default_factory=list)  # (first, end, part)
+    ranges: list[TaskRange] = msgspec.field(default_factory=list)
     finished: str = ""
     zone: str | None = None  # for one-zone jobs, fixed before the first start
     attempt: int = 0  # for gangs over several parts: the attempt all of them start
@@ -378,14 +392,14 @@
         return True
 
 
-def merge(ranges: Iterable[tuple[int, int, int]]) -> list[tuple[int, int, int]]:
+def merge(ranges: Iterable[tuple[int, int, int]]) -> list[TaskRange]:
     """Sorted ranges with neighbours of the same part joined."""
-    out: list[tuple[int, int, int]] = []
+    out: list[TaskRange] = []
     for first, end, part in sorted(ranges):
         if first >= end:
             continue
-        if out and out[-1][2] == part and out[-1][1] == first:
-            out[-1] = (out[-1][0], end, part)
+        if out and out[-1].part == part and out[-1].end == first:
+            out[-1] = TaskRange(out[-1].first, end, part)
         else:
-            out.append((first, end, part))
+            out.append(TaskRange(first, end, part))
     return out
--- a/pitchtally/control/messages.py
+++ b/pitchtally/control/messages.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from .. import wire
+from .jobs import TaskRange
 
 
 class MachineFlag(StrEnum):
@@ -117,7 +118,7 @@
 class SplitAnswer(Struct, array_like=True, tag="split_answer"):
     """Where the leader places the job; no ranges if it can't tell yet."""
 
-    ranges: list[tuple[int, int, int]]  # (first task, end, part)
+    ranges: list[TaskRange]
     zone: str | None = None
 
 
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -34,7 +34,7 @@
 )
 from .estimates import Estimates
 from .gangs import Gangs
-from .jobs import OPEN, Job, JobStore, encode, merge
+from .jobs import OPEN, Job, JobStore, TaskRange, encode, merge
 from .machines import need_of
 from .members import Members
 from .messages import PartStatus
@@ -124,11 +124,11 @@
             best = self.gangs.best_part(spec)
             if best not in mine:
                 return NOBODY
-            ranges = [(0, spec.tasks, best)]
+            ranges = [TaskRange(0, spec.tasks, best)]
             return Plan(ranges, self.gangs.pick_zone(spec, ranges))
         return Plan(self._keep(spec, mine))
 
-    def _keep(self, spec: wire.JobSpec, mine: list[int]) -> list[tuple[int, int, int]]:
+    def _keep(self, spec: wire.JobSpec, mine: list[int]) -> list[TaskRange]:
         """The B test on our parts; the leader splits at once what none of them keeps."""
         lowest = max(
             min((n.stretch for n in self.statuses.newest.values()), default=0.0), self.stretches[0]
@@ -140,14 +140,14 @@
             level = stretch.least_cover(counts, spec.tasks)
             if level is not None and self.stretches[level] <= self.policy.bound * lowest:
                 self.statuses.record_allocation(part, spec, spec.tasks)
-                return [(0, spec.tasks, part)]
+                return [TaskRange(0, spec.tasks, part)]
         return self.divide(spec) if self.members.leading is not None else []
 
-    def divide(self, spec: wire.JobSpec) -> list[tuple[int, int, int]]:
+    def divide(self, spec: wire.JobSpec) -> list[TaskRange]:
         """The leader's split: in proportion to availability at the least covering stretch."""
         if whole(spec):
             best = self.gangs.best_part(spec)
-            return [(0, spec.tasks, best)] if best is not None else []
+            return [TaskRange(0, spec.tasks, best)] if best is not None else []
         statuses = [n for n in self.statuses.newest.values() if n.matrix]
         if not statuses:
             return []
@@ -164,7 +164,7 @@
             statuses, stretch.shares(found, min(spec.tasks, sum(found))), strict=True
         ):
             if n:
-                out.append((first, first + n, status.part))
+                out.append(TaskRange(first, first + n, status.part))
                 self.statuses.record_allocation(status.part, spec, n)
                 first += n
         return out
@@ -182,7 +182,7 @@
         waiting = [
             job
             for job in self.job_store.open.values()
-            if sum(b - a for a, b, _ in job.record.ranges) < job.record.tasks
+            if sum(r.tasks for r in job.record.ranges) < job.record.tasks
         ]
         # In the order of starts: what is planned first gets the room.
         waiting.sort(
@@ -195,7 +195,7 @@
             )
         )
         for job in waiting:
-            have = sum(b - a for a, b, _ in job.record.ranges)
+            have = sum(r.tasks for r in job.record.ranges)
             # A job may end while the write for the one before it is under way.
             if have >= job.record.tasks or token is None or not job.open:
                 continue
@@ -220,7 +220,7 @@
         self,
         job: Job,
         guard: dict[str, int],
-        ranges: list[tuple[int, int, int]],
+        ranges: list[TaskRange],
         **more: Any,
     ) -> bool:
         """Write who gets which tasks of a job; False if a condition failed."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -45,7 +45,7 @@
 def job_record(controller: Controller) -> int:
     """A wide job in as many ranges as moves make, with its finished set inside."""
     chunk = controller.job_store.chunk
-    ranges = [(i * 1000, i * 1000 + 1000, i % 3) for i in range(43)]
+    ranges = [jobs.TaskRange(i * 1000, i * 1000 + 1000, i % 3) for i in range(43)]
     bits = Bits(chunk)
     bits.join(b"\xff" * (chunk // 8))
     return len(jobs.encode(Record(jobs.OPEN, chunk, _spec(chunk), 1.7e9, ranges, bits.text())))
@@ -70,7 +70,7 @@
     found = Acceptances(controller.store, controller.replica)
     controller.store.writes.resize(1000.0)
     for number in range(1000):
-        value = jobs.encode(Record(jobs.OPEN, 800, _spec(800), 1.7e9, [(0, 800, 1)]))
+        value = jobs.encode(Record(jobs.OPEN, 800, _spec(800), 1.7e9, [jobs.TaskRange(0, 800, 1)]))
         key = f"pt/jobs/wk-{number:018d}"
         found.waiting.append(Pending(key, Write(key, value), {key: 0, "pt/parts/1": 10**12}))
     batch = found._batch()
