Requests passed on leave connections between controllers to heartbeats

Now at most a tenth of a tenth or so of all sockets (1 in 80) pass requests on, the rest is refused at once, and what is over is answered from the node's own copy.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -84,12 +84,17 @@
                 and not self.isolated()
             )
             return Response(200 if ready else 503, b"{}")
-        if path.startswith("/api/jobs") and self.cut_off():
+        if path.startswith("/api/jobs") and self.cut_off() and not self._is_final(path):
             answer = await self.members.forward(request)
             if answer is not None:
                 return answer
         return await self.local(request)
 
+    def _is_final(self, path: str) -> bool:
+        """Whether the job that a path names is over, which our copy tells for certain."""
+        job = self.job_store.jobs.get(path.removeprefix("/api/jobs/").removesuffix("/cancel"))
+        return job is not None and not job.open
+
     def cut_off(self) -> bool:
         """Whether this node can't reach the store while a peer can."""
         return self.store.failing_since is not None and self.members.peer_with_store() is not None
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -39,7 +39,11 @@
 
 log = logging.getLogger("members")
 
+RETRY_SOON = [("Retry-After", "1")]
+
 LEADER_PART = 0
+# Of all sockets: users' requests that one node passes on to others at a time.
+FORWARDS = 1 / 80
 
 
 def part_of(machine: str, count: int) -> int:
@@ -90,6 +94,10 @@
             m.name: Peer(m.name, m.address) for m in settings.members if m.name != settings.name
         }
         self.client = Client(keep=2)
+        # Users' requests that are passed on must leave connections to heartbeats: a flood of
+        # them made peers refuse each other for as long as it took to see that all are cut off.
+        connections = settings.deployment.machine_limits.max_connections
+        self._forwards = trio.CapacityLimiter(max(2, int(connections * FORWARDS)))
         self.lease: int | None = None
         self.workers_unreachable = False
         self.wake = trio.Event()
@@ -403,7 +411,10 @@
         peer = self.peer_with_store()
         if peer is None:
             return None
-        found = await self.send(peer, Forward(request.method, request.path, request.body))
+        if self._forwards.available_tokens < 1:
+            return Response(503, b'{"error":"too many requests to pass on"}', list(RETRY_SOON))
+        async with self._forwards:
+            found = await self.send(peer, Forward(request.method, request.path, request.body))
         if not isinstance(found, Forwarded):
             return None
         headers = [("Retry-After", found.retry_after)] if found.retry_after else []
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -13,6 +13,7 @@
 from pitchtally.control.waiting_line import GRACE_S, LONGEST_S, WaitingLine
 from pitchtally.http import HttpError, Request, Response
 from pitchtally.settings import StateLimits
+from standins.network import HERE
 
 from .meetings import restart
 from .sim import Sim, job, run, sent
@@ -353,3 +354,49 @@
         assert [line.ahead_of(id) for id in "bc"] == [0, 1]
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_requests_passed_on_leave_peers_room_for_heartbeats(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A flood of polls at a node without the store took all connections between controllers."""
+
+    async def day(sim: Sim) -> None:
+        await sim.submit(job(1, rows=4, realS=900.0, ripenS=900.0))
+        await sim.submit(job(2, rows=1, realS=1.0, ripenS=1.0))
+        await sim.finish(["wk-000002"], limit=30)
+        under_way = most = 0
+        call = sim.network.call
+
+        async def counted(address: Any, method: str, target: str, *rest: Any, **more: Any) -> Any:
+            nonlocal under_way, most
+            passed_on = target == "/peer" and HERE.get() == "n0"
+            under_way += passed_on
+            most = max(most, under_way)
+            try:
+                return await call(address, method, target, *rest, **more)
+            finally:
+                under_way -= passed_on
+
+        monkeypatch.setattr(sim.network, "call", counted)
+        sim.state.refuses.add("n0")
+        for name in ("n1", "n2"):
+            sim.network.slow[("n0", name)] = 0.3
+        await trio.sleep(3)
+        answers: list[Response] = []
+
+        async def poll(id: str) -> None:
+            answers.append(await sim.call(0, "GET", f"/api/jobs/{id}"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(300):
+                nursery.start_soon(poll, "wk-000001")
+            at = trio.current_time()
+            await poll("wk-000002")
+            assert trio.current_time() - at < 0.2  # what is over, its own copy tells
+        assert {answer.status for answer in answers} == {200, 503}
+        assert all(dict(a.headers)["Retry-After"] == "1" for a in answers if a.status == 503)
+        assert most <= 800 / 80 + 4  # and two heartbeats to each peer, at the most
+        sim.check()
+
+    run(monkeypatch, day)
