A confirmation belongs to its question; reads overlap; decisions are logged

Cause: outcomes of confirmations stood in a table by the address of their event. A waiter that gave up after 1.5 s left its outcome behind when its read ended later (up to 2 s, one read at a time); a later question at the same address that gave up as well took it for its own, and an accepted job was answered 404 after 1,503 ms. Ruled out: an older answer of the store, and a gap in the copy: either would have come as a read ended, not at the limit.

Change: a question object holds its outcome (Confirmed with its read, or Unconfirmed with why), so nobody else can be handed it. A read is one request for the changes since the copy's revision, so it confirms and catches up at once, and the next begins before the last has ended: 8 under way at most, a fifth of the request tokens as before. Late answers are taken in by revision. An answer older than its question is refused. 404 after a commit that was refused because the record is there: 503 now. Submissions planned under different tokens of a part share no commit. One debug line for each answer, start, stop, end and cancellation with its grounds; counters once a period at info, with the leader and its token; loop faults by name. The scheduler's own catch-alls went: one place restarts and counts.

--- a/pitchtally/control/acceptance.py
+++ b/pitchtally/control/acceptance.py
@@ -1,65 +1,12 @@
-"""Commits of submissions that share transactions, and reads that many requests share."""
+"""Commits of submissions, which share transactions."""
 
 from __future__ import annotations
 
-import logging
-
 import trio
 
 from .. import tokens
-from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
-
-log = logging.getLogger("acceptance")
-
-
-# One read of the revision for as many requests that the store would take meanwhile: with
-# polls coming all the time, a fifth of this node's share.
-_CERTIFY = 5.0
-
-
-class Certifier:
-    """Brings the copy up to the store's present; one read for all that wait."""
-
-    def __init__(self, store: Store, replica: Replica, timeout: float):
-        self.store = store
-        self.replica = replica
-        self.timeout = timeout
-        self.waiting: list[trio.Event] = []
-        self.results: dict[int, bool] = {}
-        self.wake = trio.Event()
-
-    async def certify(self) -> bool:
-        """Whether the copy has reached a revision that was read after this call."""
-        event = trio.Event()
-        self.waiting.append(event)
-        self.wake.set()
-        with trio.move_on_after(self.timeout):
-            await event.wait()
-            return self.results.pop(id(event), False)
-        if event in self.waiting:
-            self.waiting.remove(event)
-        return self.results.pop(id(event), False)
-
-    async def run(self) -> None:
-        """Read the revision for all that wait, again and again."""
-        while True:
-            await self.wake.wait()
-            self.wake = trio.Event()
-            batch, self.waiting = self.waiting, []
-            if not batch:
-                continue
-            good = False
-            try:
-                revision = await self.store.revision()
-                good = await self.replica.catch_up(revision, self.timeout)
-            except StoreDown as error:
-                log.debug("certify: %s", error)
-            for event in batch:
-                self.results[id(event)] = good
-                event.set()
-            # A read serves all that wait: it may take a share of the requests, no more,
-            # and leaves the rest to commits.
-            await trio.sleep(_CERTIFY / self.store.requests.rate)
+from ..replica import Replica
+from ..store import Conflict, NoLease, Store, StoreDown, Write
 
 
 class Pending:
@@ -103,6 +50,7 @@
 
     def _batch(self) -> list[Pending]:
         batch: list[Pending] = []
+        conditions: dict[str, int] = {}
         size = 0
         for pending in list(self.waiting):
             size += len(pending.change.value or b"") + 300
@@ -110,9 +58,15 @@
                 batch and (size > self.BYTES or len(batch) >= self.store.writes.burst)
             ):
                 break
-            # A repeat of an id goes alone, so that its condition can fail.
-            if all(other.key != pending.key for other in batch):
+            # A repeat of an id goes alone, so that its condition can fail. So does one that
+            # was planned under another token of a part: the transaction would check only
+            # one of the two.
+            if all(other.key != pending.key for other in batch) and all(
+                conditions.get(key, version) == version
+                for key, version in pending.conditions.items()
+            ):
                 batch.append(pending)
+                conditions.update(pending.conditions)
         self.waiting = [p for p in self.waiting if p not in batch]
         return batch
 
--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -1,7 +1,7 @@
 """Users' requests: validation, acceptance in one commit, certified answers.
 
-An answer that isn't final is certified: the store is asked for its revision and
-the copy has to have reached it. One such read serves every request waiting.
+An answer that isn't final is confirmed first: the copy has to cover a revision of the
+store that was read after the question came (`confirmations`).
 """
 
 from __future__ import annotations
@@ -16,11 +16,14 @@
 from .. import tokens, wire
 from ..http import Request, Response
 from ..policy import Policy
+from ..replica import Replica
 from ..settings import Settings
-from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
+from ..store import Conflict, NoLease, Store, StoreDown, Write
 from . import jobs
-from .acceptance import Acceptances, Certifier, Pending
+from .acceptance import Acceptances, Pending
 from .capacity import Plan
+from .confirmations import Confirmations, Confirmed
+from .decisions import Decided, Decision, Grounds, ignore_decision
 from .jobs import Job, JobStore, Record
 from .members import Members
 from .messages import Cancellation
@@ -35,6 +38,8 @@
 
 # The share of a burst of write tokens that is left to those who are expected back.
 SPARE = 0.75
+# Times that a cancellation is tried anew because an owner's progress was written first.
+CANCEL_ATTEMPTS = 4
 
 
 class Api:
@@ -62,10 +67,11 @@
         self.split = split
         self.types = types
         # Users wait 2 s for a poll: an answer later than that helps nobody.
-        self.certifier = Certifier(store, replica, min(1.5, policy.call_timeout * 1.5))
+        self.confirmations = Confirmations(store, replica, min(1.5, policy.call_timeout * 1.5))
         self.acceptances = Acceptances(store, replica)
         self.line = WaitingLine(lambda id: id in job_store.jobs)
         self.nursery: trio.Nursery | None = None
+        self.decided: Decided = ignore_decision  # filled in by the service
 
     async def serve(self, request: Request) -> Response:
         """Route a request that came over the public address."""
@@ -143,17 +149,35 @@
             view = wire.JobView(job.id, state, min(done, record.tasks), running)
         return Response(200, encode(view))
 
-    async def poll(self, id: str) -> Response:
-        """The state of a job; anything but a final state is certified first."""
+    async def poll(self, id: str, *, exists: bool = False) -> Response:
+        """The state of a job; anything but a final state is confirmed first.
+
+        `exists`: the store has just told that the job's record is there.
+        """
         if not is_job_id(id):
             return _error(404, "ref", "unknown job")
         job = self.job_store.jobs.get(id)
         if job is not None and not job.open:
-            return self.view(job)
-        if self.isolated() or not await self.certifier.certify():
+            return self._found(job, None)
+        if self.isolated():
+            return _busy("the state service doesn't answer", 1)
+        outcome = await self.confirmations.confirm()
+        if not isinstance(outcome, Confirmed):
             return _busy("the state can't be confirmed now", 1)
         job = self.job_store.jobs.get(id)
-        return self.view(job) if job is not None else _error(404, "ref", "unknown job")
+        if job is not None:
+            return self._found(job, outcome)
+        if exists:
+            return _busy("the state can't be confirmed now", 1)
+        self.decided(Decision.UNKNOWN_JOB, id, Grounds(read=outcome.read))
+        return _error(404, "ref", "unknown job")
+
+    def _found(self, job: Job, confirmed: Confirmed | None) -> Response:
+        """The answer for a known job; without a confirmation, of a job that is over."""
+        decision = Decision.FOUND if job.open else Decision.FOUND_OVER
+        read = confirmed.read if confirmed is not None else None
+        self.decided(decision, job.id, Grounds(version=job.version, read=read))
+        return self.view(job)
 
     # --- submission --------------------------------------------------------------
 
@@ -209,7 +233,8 @@
         return self.job_store.jobs.get(id) if id is not None else None
 
     async def _accepted_elsewhere(self, id: str) -> bool:
-        return await self.certifier.certify() and id in self.job_store.jobs
+        outcome = await self.confirmations.confirm()
+        return isinstance(outcome, Confirmed) and id in self.job_store.jobs
 
     async def _accept(self, spec: wire.JobSpec) -> Response:
         key = f"pt/jobs/{spec.id}"
@@ -247,7 +272,7 @@
                 len(self.acceptances.waiting),
             )
         if key in pending.failed:
-            return await self.poll(spec.id)
+            return await self.poll(spec.id, exists=True)
         if pending.failed:
             return _busy("the owner has changed", 1)
         if pending.revision is None:
@@ -271,42 +296,48 @@
         """Cancel a job: committed before it is answered."""
         if not is_job_id(id):
             return _error(404, "ref", "unknown job")
-        for _ in range(4):
+        for _ in range(CANCEL_ATTEMPTS):
             job = self.job_store.jobs.get(id)
-            if job is None or job.open:
-                if self.isolated():
+            if job is not None and not job.open:
+                return self._found(job, None)
+            if self.isolated():
+                break
+            if job is None:
+                outcome = await self.confirmations.confirm()
+                if not isinstance(outcome, Confirmed):
                     break
-                if job is None:
-                    if not await self.certifier.certify():
-                        return _busy("the state can't be confirmed now", 1)
-                    job = self.job_store.jobs.get(id)
-                    if job is None:
-                        return _error(404, "ref", "unknown job")
-                    continue
-                final = Record(jobs.CANCELLED, job.record.tasks, count=job.finished.count)
-                change = Write(f"pt/jobs/{id}", encode(final))
-                try:
-                    revision = await self.store.commit(
-                        {change.key: job.version}, [change], priority=tokens.COMPLETIONS
-                    )
-                except Conflict:
-                    # The owners' progress came first: take it in and try again.
-                    if not await self.certifier.certify():
-                        break
-                    continue
-                except (NoLease, StoreDown):
-                    break
-                self.replica.own([change], revision)
-                if self.nursery is not None:
-                    self.nursery.start_soon(
-                        self.members.tell_cancelled,
-                        Cancellation(id, revision, final.tasks, final.count),
-                    )
+                if id not in self.job_store.jobs:
+                    self.decided(Decision.UNKNOWN_JOB, id, Grounds(read=outcome.read))
+                    return _error(404, "ref", "unknown job")
+                continue
+            try:
+                await self._commit_cancellation(job)
                 job = self.job_store.jobs[id]
-            if not job.open:
-                return self.view(job)
+                if not job.open:
+                    return self._found(job, None)
+            except Conflict:
+                # The owners' progress came first: take it in and try again.
+                if not isinstance(await self.confirmations.confirm(), Confirmed):
+                    break
+            except (NoLease, StoreDown):
+                break
         return _busy("the cancellation can't be written now", 1)
 
+    async def _commit_cancellation(self, job: Job) -> None:
+        """Write that a job is cancelled, and tell the owners; raises what `Store.commit` does."""
+        final = Record(jobs.CANCELLED, job.record.tasks, count=job.finished.count)
+        change = Write(f"pt/jobs/{job.id}", encode(final))
+        revision = await self.store.commit(
+            {change.key: job.version}, [change], priority=tokens.COMPLETIONS
+        )
+        self.replica.own([change], revision)
+        self.decided(Decision.CANCELLED, job.id, Grounds(version=revision))
+        if self.nursery is not None:
+            self.nursery.start_soon(
+                self.members.tell_cancelled,
+                Cancellation(job.id, revision, final.tasks, final.count),
+            )
+
 
 def _error(status: int, field: str, reason: str) -> Response:
     return Response(status, encode({"error": reason, "field": field}))
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -16,8 +16,9 @@
 
 from .. import tokens, wire
 from ..policy import Policy
+from ..replica import Replica
 from ..settings import Settings
-from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
+from ..store import Conflict, NoLease, Store, StoreDown, Write
 from .capacity import group_ok, times
 from .cloud import Cloud, CloudDown, NoCapacity
 from .hiring import Booting, Group, Hiring
@@ -188,8 +189,6 @@
                 self._trouble(str(error))
             except NoCapacity:
                 pass
-            except Exception:
-                log.exception("fleet fault")
             await trio.sleep(min(2.0, self.policy.list_every / 3))
 
     async def _list(self) -> None:
--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -20,7 +20,9 @@
 from msgspec import Struct
 
 from .. import tokens, wire
-from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
+from ..replica import Replica
+from ..store import Conflict, NoLease, Store, StoreDown, Write
+from .decisions import Decided, Decision, Grounds, ignore_decision
 
 log = logging.getLogger("jobs")
 
@@ -162,6 +164,7 @@
         self.wake = trio.Event()
         # Filled in by the service: whether users wait whose submissions were refused.
         self.submissions_wait: Callable[[], bool] = lambda: False
+        self.decided: Decided = ignore_decision
         self.cancelled: list[tuple[int, str]] = []  # (version, id) of every one, in that order
         self.early: dict[str, list[tuple[str, bytes]]] = {}  # chunks read before their record
         # base64 turns 3 bytes into 4; half the value is left for the rest.
@@ -378,6 +381,8 @@
         for job in kept:
             job.flushed_at = now
             job.awaited = False
+            if job.record.stage == DONE:
+                self.decided(Decision.DONE, job.id, Grounds(version=job.version))
 
     async def commit(
         self, conditions: dict[str, int], changes: list[Write], *, priority: int
@@ -391,7 +396,7 @@
             revision = await self.store.commit(conditions, changes, priority=priority)
         except Conflict as conflict:
             log.debug("conflict on %s", conflict)
-            await self.replica.catch_up(await self.store.revision(), self.store.timeout)
+            await self.replica.refresh()
             return False
         except NoLease:
             return False
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -19,8 +19,9 @@
 from .. import tokens, wire
 from ..http import Client, HttpError, Request, Response
 from ..policy import Policy
+from ..replica import Replica
 from ..settings import Settings
-from ..store import Conflict, NoLease, Replica, Store, StoreDown, Write
+from ..store import Conflict, NoLease, Store, StoreDown, Write
 from .evidence import NEVER, Answer, cancellations_known, owned_alone
 from .messages import (
     Ack,
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -1,22 +1,24 @@
-"""One controller: the slices put together, and their loops run."""
+"""One controller: the components put together, and their loops run."""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Awaitable, Callable
 
 import trio
 
 from .. import wire
 from ..http import Request, Response, Server
 from ..policy import Policy
+from ..replica import Replica
 from ..settings import Settings, host_port
-from ..store import Replica, Store
+from ..store import Store
 from .acceptance import Acceptances
 from .api import Api
+from .decisions import DecisionLog, Evidence
 from .fleet import Fleet
 from .jobs import JobStore
-from .members import Members
+from .loops import Loop, Loops
+from .members import LEADER_PART, Members
 from .messages import Cancellation, Heartbeat, SplitAnswer
 from .split import Split
 from .workers import Workers
@@ -77,6 +79,10 @@
             lambda: self.fleet.types,
         )
         self.job_store.submissions_wait = lambda: self.api.line.waiting
+        self.loops = Loops()
+        self.decisions = DecisionLog(
+            self._evidence, self._counters, lambda: self.api.confirmations.last
+        )
         self._connect()
 
     def _connect(self) -> None:
@@ -103,6 +109,23 @@
         workers.on_done = split.parts.done
         workers.adopt = split.parts.adopt
         workers.fill = split.placing.fill
+        self.api.decided = self.decisions.decided
+        workers.decided = self.decisions.decided
+        self.job_store.decided = self.decisions.decided
+
+    def _evidence(self) -> Evidence:
+        owned = self.members.owners.get(LEADER_PART)
+        return Evidence(
+            self.replica.seen,
+            self.members.cancellations_known_at(),
+            self.members.owner(LEADER_PART),
+            owned[1] if owned is not None else 0,
+        )
+
+    def _counters(self) -> dict[str, int]:
+        """Totals that other components count."""
+        faults = {f"fault_{name}": count for name, count in self.loops.faults.items()}
+        return {**self.api.confirmations.counts, **faults}
 
     def _split(self, spec: wire.JobSpec) -> SplitAnswer:
         plan = self.split.decide_as_leader(spec)
@@ -141,35 +164,20 @@
             request_time=times.report_s,
             max_body=1 << 22,
         )
-        loops: list[Callable[[], Awaitable[None]]] = [
-            self.members.run_pause_detector,
-            self.replica.run,
-            self.members.run_lease,
-            self.members.run_ownership,
-            self.job_store.run,
-            self.workers.run_expiry,
-            self.workers.direct_commands.run,
-            self.workers.direct_commands.run_reachability,
-            self.workers.records.run,
-            self.split.run,
-            self.split.run_splitting,
-            self.fleet.run,
-            self.fleet.run_types,
-            self.fleet.run_silences,
-            self.api.certifier.run,
-            self._own_drain,
-            *[self.api.acceptances.run] * Acceptances.LOOPS,
-        ]
         async with trio.open_nursery() as nursery:
             self.api.nursery = nursery
             host, port = host_port(self.settings.public_addr)
-            nursery.start_soon(self._always, lambda: users.serve(host, port))
+            nursery.start_soon(self.loops.keep, "users", lambda: users.serve(host, port))
             peer_host, peer_port = host_port(self.settings.peer_bind)
-            nursery.start_soon(self._always, lambda: peers.serve(peer_host, peer_port))
-            for loop in loops:
-                nursery.start_soon(self._always, loop)
+            nursery.start_soon(self.loops.keep, "peers", lambda: peers.serve(peer_host, peer_port))
+            for name, loop in self._own_loops():
+                nursery.start_soon(self.loops.keep, name, loop)
             for peer in self.members.peers.values():
-                nursery.start_soon(self._always, lambda p=peer: self.members.run_heartbeats(p))
+                nursery.start_soon(
+                    self.loops.keep,
+                    f"heartbeats_{peer.name}",
+                    lambda p=peer: self.members.run_heartbeats(p),
+                )
             log.info(
                 "serving node=%s address=%s objectives=%s",
                 self.settings.name,
@@ -179,14 +187,29 @@
                 ),
             )
 
-    async def _always(self, loop: Callable[[], Awaitable[None]]) -> None:
-        """A fault in one loop is logged and the loop begun again; the process lives on."""
-        while True:
-            try:
-                await loop()
-            except Exception:
-                log.exception("loop fault")
-            await trio.sleep(0.5)
+    def _own_loops(self) -> list[tuple[str, Loop]]:
+        """Every loop but those of the servers and of single peers, by name."""
+        acceptances = [("acceptances", self.api.acceptances.run)] * Acceptances.LOOPS
+        return [
+            ("pauses", self.members.run_pause_detector),
+            ("replica", self.replica.run),
+            ("lease", self.members.run_lease),
+            ("ownership", self.members.run_ownership),
+            ("jobs", self.job_store.run),
+            ("expiry", self.workers.run_expiry),
+            ("direct_commands", self.workers.direct_commands.run),
+            ("reachability", self.workers.direct_commands.run_reachability),
+            ("records", self.workers.records.run),
+            ("planning", self.split.run),
+            ("splitting", self.split.run_splitting),
+            ("fleet", self.fleet.run),
+            ("types", self.fleet.run_types),
+            ("silences", self.fleet.run_silences),
+            ("confirmations", self.api.confirmations.run),
+            ("drain", self._own_drain),
+            ("decisions", lambda: self.decisions.run(self.policy.period)),
+            *acceptances,
+        ]
 
     async def _own_drain(self) -> None:
         while True:
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -20,8 +20,9 @@
 
 from .. import tokens, wire
 from ..policy import Policy
+from ..replica import Replica
 from ..settings import Settings
-from ..store import Replica, StoreDown, Write
+from ..store import StoreDown, Write
 from . import stretch
 from .capacity import (
     NOBODY,
@@ -34,6 +35,7 @@
 )
 from .estimates import Estimates
 from .gangs import Gangs
+from .holdings import PartWork
 from .jobs import OPEN, Job, JobStore, TaskRange, encode, merge
 from .machines import need_of
 from .members import Members
@@ -290,24 +292,25 @@
             self.wake = trio.Event()
             # Starts travel with reports: planning much more often than these come is idle.
             await trio.sleep(self.report_s / 10)
-            try:
-                spent = 0.0
-                for part, work in list(self.parts.work.items()):
-                    if work.loaded and part in self.parts.work:
-                        at = trio.current_time()
-                        self.placing.survey(part)
-                        self.placing.allot(part)
-                        self.gangs.start(work, part)
-                        self.placing.vacate(part)
-                        self.preemption.preempt(part)
-                        self.gangs.reserve(part)
-                        spent += trio.current_time() - at
-                        await trio.sleep(0)  # reports come before planning
-                spent += self.statuses.refresh()
-                # Planning takes a bounded share of the processor, whatever its size.
-                await trio.sleep(min(self.report_s, spent * _REST))
-            except Exception:
-                log.exception("split fault")
+            spent = 0.0
+            for part, work in list(self.parts.work.items()):
+                if work.loaded and part in self.parts.work:
+                    at = trio.current_time()
+                    self._plan(part, work)
+                    spent += trio.current_time() - at
+                    await trio.sleep(0)  # reports come before planning
+            spent += self.statuses.refresh()
+            # Planning takes a bounded share of the processor, whatever its size.
+            await trio.sleep(min(self.report_s, spent * _REST))
+
+    def _plan(self, part: int, work: PartWork) -> None:
+        """One planning round of a part."""
+        self.placing.survey(part)
+        self.placing.allot(part)
+        self.gangs.start(work, part)
+        self.placing.vacate(part)
+        self.preemption.preempt(part)
+        self.gangs.reserve(part)
 
     async def run_splitting(self) -> None:
         """The leader gives out jobs that nobody kept; owners move what another can start."""
@@ -326,5 +329,3 @@
             except StoreDown as error:
                 log.debug("split not written: %s", error)
                 await trio.sleep(0.3)
-            except Exception:
-                log.exception("splitting fault")
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -18,8 +18,9 @@
 from .. import wire
 from ..http import Request, Response
 from ..policy import Policy
+from ..replica import Replica
 from ..settings import Settings
-from ..store import Replica
+from .decisions import Decided, Decision, Grounds, ignore_decision
 from .direct_commands import DirectCommands
 from .evidence import lease_over
 from .jobs import JobStore
@@ -74,6 +75,7 @@
         self.on_group_heard: Callable[[int, Collection[Group]], None] = lambda part, unheard: None
         self.on_lost_part: Callable[[int], None] = lambda part: None
         self.adopt: Callable[[Placement], bool] = lambda placement: True
+        self.decided: Decided = ignore_decision
 
     # --- ownership -----------------------------------------------------------
 
@@ -495,6 +497,7 @@
             grace = 0.0 if late else placement.grace
             if not placement.kill_at:
                 placement.kill_at = now
+                self._tell(Decision.STOP, placement)
             orders.append(wire.Order(wire.STOP, key, placement.attempt, grace))
         orders += [wire.Order(wire.STOP, k, n, 0.0) for k, n in machine.orphans.items()]
         return orders
@@ -525,6 +528,7 @@
             for placement in self.fill(machine):
                 placement.sent_seq = report.seq
                 placement.at = now
+                self._tell(Decision.START, placement)
                 starts.append(wire.Order(wire.START, placement.key, placement.attempt))
         # What a worker forgets is a change, and it reports each: beside a start that costs
         # nothing more, alone once a report interval will do.
@@ -544,6 +548,15 @@
             orders = orders[:500]
         return orders
 
+    def _tell(self, decision: Decision, placement: Placement) -> None:
+        hold = self.parts.get(placement.machine.part)
+        grounds = Grounds(
+            placement.job.version,
+            token=hold.token if hold is not None else None,
+            detail=f"machine={placement.machine.name}",
+        )
+        self.decided(decision, placement.key, grounds)
+
     def stop(self, placement: Placement, grace: float) -> None:
         """Order a task stopped; a shorter grace overrides a longer one."""
         if not placement.sent_seq and not placement.seen:
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -1,4 +1,4 @@
-"""The state service: conditional commits, reads, leases, and a followed copy.
+"""The state service: conditional commits, reads and leases.
 
 A commit ends in one of four ways, and callers must tell them apart: committed,
 refused by a condition, not executed, or unknown. Unknown ones are read back
@@ -33,6 +33,13 @@
         self.unknown = unknown
 
 
+class NoAnswer(StoreDown):
+    """Nothing came back, in time or at all."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason, unknown=True)
+
+
 class Conflict(Exception):
     """A condition failed; nothing was changed."""
 
@@ -57,7 +64,6 @@
 _page = msgspec.json.Decoder(wire.StoredPage)
 _events = msgspec.json.Decoder(wire.Events)
 _revision = msgspec.json.Decoder(wire.Revision)
-_item = msgspec.json.Decoder(wire.StoredItem)
 _lease = msgspec.json.Decoder(wire.LeaseGrant)
 encode = msgspec.json.encode
 
@@ -76,6 +82,7 @@
         self.client = Client(keep=8)
         self.answered_at = -1e9
         self.failing_since: float | None = None
+        self._told: set[str] = set()  # causes of unusable answers, each logged once
 
     def share_among(self, nodes: int) -> None:
         """The limits are for all nodes together: those that live share them."""
@@ -91,8 +98,11 @@
         *,
         priority: int,
         timeout: float | None = None,
+        on_sent: Callable[[], None] | None = None,
     ) -> tuple[int, bytes]:
         await self.requests.take(priority)
+        if on_sent is not None:
+            on_sent()
         sent = trio.current_time()
         try:
             response = await self.client.call(
@@ -101,7 +111,7 @@
         except HttpError as error:
             self.client.drop(self.address)
             self._failed(sent)
-            raise StoreDown(str(error), unknown=True) from None
+            raise NoAnswer(str(error)) from None
         if response.status == 429:
             self.requests.penalty()
             if method == "POST" and target == "/commit":
@@ -118,20 +128,6 @@
         if self.failing_since is None and sent > self.answered_at:
             self.failing_since = sent
 
-    async def revision(self) -> int:
-        """The store's present revision, by the smallest read there is."""
-        status, body = await self._call("GET", "/store/pt/absent", priority=tokens.COMPLETIONS)
-        if status != 404:
-            raise StoreDown(f"status {status} for an absent key")
-        return self._decode(_revision, body).revision
-
-    async def get(self, key: str) -> wire.StoredItem | None:
-        """One key; None if it is absent."""
-        status, body = await self._call("GET", f"/store/{key}", priority=tokens.COMPLETIONS)
-        if status == 404:
-            return None
-        return self._decode(_item, body)
-
     async def page(self, prefix: str, after: str | None) -> wire.StoredPage:
         """A page of keys with a prefix, after a key."""
         since = f"&since={after}" if after else ""
@@ -160,9 +156,9 @@
         body = encode(wire.Transaction([wire.Condition(k, v) for k, v in conditions.items()], puts))
         if changes:
             await self.writes.take(priority, len(changes))
-        if on_sent is not None:
-            on_sent()
-        status, answer = await self._call("POST", "/commit", body, priority=priority)
+        status, answer = await self._call(
+            "POST", "/commit", body, priority=priority, on_sent=on_sent
+        )
         if status == 200:
             return self._decode(_revision, answer).revision
         if status == 409:
@@ -187,144 +183,48 @@
         if status != 200:
             raise StoreDown(f"status {status}")
 
-    async def follow(self, prefix: str, after: int, wait: float) -> wire.Events | None:
-        """Changes after a revision; None if that is too old and keys must be read again."""
+    async def follow(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+        *,
+        priority: int = tokens.LEASES,
+        timeout: float | None = None,
+        on_sent: Callable[[], None] | None = None,
+    ) -> wire.Events | None:
+        """Changes after a revision; None if that is too old and keys must be read again.
+
+        Without a change the store answers after `wait` seconds; with 0 at once. `timeout`
+        is for the answer, those seconds apart. Raises StoreDown, also for an answer that
+        is older than its question.
+        """
         status, body = await self._call(
             "GET",
             f"/follow?starts={prefix}&since={after}&waitMs={int(wait * 1000)}",
-            priority=tokens.LEASES,
-            timeout=wait + self.timeout,
+            priority=priority,
+            timeout=wait + (timeout or self.timeout),
+            on_sent=on_sent,
         )
         if status == 410:
             return None
         if status != 200:
             raise StoreDown(f"status {status}")
-        return self._decode(_events, body)
-
-    @staticmethod
-    def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
+        events = self._decode(_events, body)
+        if events.revision < after:
+            # Whoever asked knew more already: this was the answer to another question.
+            self._tell_once("answer older than its question")
+            raise StoreDown("answer older than its question")
+        return events
+
+    def _tell_once(self, cause: str) -> None:
+        if cause not in self._told:
+            self._told.add(cause)
+            log.info("unusable answer cause=%s", cause)
+
+    def _decode(self, decoder: msgspec.json.Decoder[T], body: bytes) -> T:
         try:
             return decoder.decode(body)
         except msgspec.MsgspecError as error:
+            self._tell_once("rubbish")
             raise StoreDown(f"rubbish: {error}", unknown=True) from None
-
-
-Listener = Callable[[str, bytes | None, int], None]
-
-
-class Replica:
-    """A copy of all our keys, kept up by one watch.
-
-    `seen` is the revision up to which the copy is whole. Own commits are applied
-    at once, ahead of the watch; a version number per key keeps the order right.
-    """
-
-    PREFIX = "pt/"
-
-    def __init__(self, store: Store, pause: float, wait: float):
-        self.store = store
-        self.pause = pause
-        self.wait = wait
-        self.seen = -1
-        self.versions: dict[str, int] = {}
-        self.listeners: list[tuple[str, Listener]] = []
-        self.progress = trio.Event()
-        self.fresh_at = -1e9  # a request sent at this time has confirmed the copy
-
-    def listen(self, prefix: str, listener: Listener) -> None:
-        """Have a listener told of every change below a prefix."""
-        self.listeners.append((self.PREFIX + prefix, listener))
-
-    def version(self, key: str) -> int:
-        """A key's version in the copy, 0 if absent."""
-        return self.versions.get(key, 0)
-
-    def _apply(self, key: str, value: bytes | None, version: int) -> None:
-        if value is None:
-            if self.versions.pop(key, None) is None:
-                return
-        else:
-            if self.versions.get(key, 0) >= version:
-                return
-            self.versions[key] = version
-        for prefix, listener in self.listeners:
-            if key.startswith(prefix):
-                try:
-                    listener(key[len(prefix) :], value, version)
-                except Exception:
-                    # A record that one slice cannot read must not stop the copy.
-                    log.exception("listener fault key=%s", key)
-
-    def own(self, changes: Sequence[Write], revision: int) -> None:
-        """Apply a commit of ours; one the watch has passed already is left alone."""
-        if revision <= self.seen:
-            return
-        for change in changes:
-            if change.value is not None:
-                self._apply(change.key, change.value, revision)
-
-    def learn(self, key: str, value: bytes, version: int) -> None:
-        """A change that the store has committed, as a peer's copy shows it."""
-        self._apply(key, value, version)
-
-    async def load(self) -> None:
-        """Read everything; keys that vanished meanwhile are dropped."""
-        found: set[str] = set()
-        after: str | None = None
-        revision: int | None = None
-        while True:
-            page = await self.store.page(self.PREFIX, after)
-            # The watch goes on from the first page: later changes are seen again.
-            revision = page.revision if revision is None else revision
-            for item in page.items:
-                found.add(item.key)
-                self._apply(item.key, bytes(item.value), item.version)
-            if not page.more or not page.items:
-                break
-            after = page.items[-1].key
-        for key in [k for k, v in self.versions.items() if k not in found and v <= revision]:
-            self._apply(key, None, revision)
-        self._advance(revision)
-
-    def _advance(self, revision: int) -> None:
-        self.seen = max(self.seen, revision)
-        self.progress.set()
-        self.progress = trio.Event()
-
-    async def run(self) -> None:
-        """Follow for ever, reading everything anew whenever the thread is lost."""
-        delay = self.pause
-        while True:
-            try:
-                sent = trio.current_time()
-                if self.seen < 0:
-                    await self.load()
-                else:
-                    events = await self.store.follow(self.PREFIX, self.seen, self.wait)
-                    if events is None:
-                        log.info("watch too old, reading again")
-                        await self.load()
-                    else:
-                        # An answer after a silent wait vouches for its end, not its start;
-                        # only the sending time is certain.
-                        for event in events.events:
-                            if event.put is not None:
-                                self._apply(event.put, bytes(event.value), event.version)
-                            elif event.delete is not None:
-                                if self.versions.get(event.delete, 0) <= event.version:
-                                    self._apply(event.delete, None, event.version)
-                        self._advance(events.revision)
-                self.fresh_at = sent
-                delay = self.pause
-            except StoreDown as error:
-                log.debug("watch: %s", error)
-                delay = min(delay * 2, 1.0)
-            await trio.sleep(delay)
-
-    async def catch_up(self, revision: int, timeout: float) -> bool:
-        """Wait until the copy covers a revision; False if it doesn't in time."""
-        with trio.move_on_after(timeout):
-            while self.seen < revision:
-                await self.progress.wait()
-            return True
-        return False
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -2,28 +2,46 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 import trio
 import trio.testing
 
-from pitchtally.control.acceptance import Certifier
+from pitchtally.control.confirmations import (
+    MOST_READS,
+    REQUESTS_PER_READ,
+    Confirmations,
+    Confirmed,
+    Outcome,
+    Unanswered,
+    Unconfirmed,
+)
 from pitchtally.http import Client, HttpError, Response
+from pitchtally.replica import Replica
 from pitchtally.settings import StateLimits
-from pitchtally.store import Replica, Store
+from pitchtally.store import Store, StoreDown
 
 LIMITS = StateLimits(rps=150, write_rps=30, value_kb=8, txn_ops=8)
 CALL_TIMEOUT = 2.0
 WAIT = 1.5  # how long a question waits for its confirmation
-REVISION = b'{"ledger":10}'
+USUAL_DELAY = 0.005
+INTERVAL = REQUESTS_PER_READ / (150 * 0.9 / 3)  # between the beginnings of two reads
+HANGS = float("inf")
 
 
 class StateService:
-    """Answers reads of the revision after `delay` seconds; None: never."""
+    """Answers each read with the next of `delays`, in seconds, then all after `delay`."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch):
-        self.delay: float | None = 0.005
+        self.delay = USUAL_DELAY
+        self.delays: list[float] = []
+        self.status = 200
+        self.ledger = 10
+        self.log: list[dict[str, Any]] = []
+        self.reads = self.under_way = self.most_under_way = 0
         service = self
 
         async def call(
@@ -35,42 +53,55 @@
             *,
             timeout: float,
         ) -> Response:
-            delay = service.delay
-            with trio.move_on_after(timeout):
-                await (trio.sleep_forever() if delay is None else trio.sleep(delay))
-                return Response(404, REVISION)
-            raise HttpError(f"no answer in {timeout:g} s")
+            return await service.answer(timeout)
 
         monkeypatch.setattr(Client, "call", call)
 
+    async def answer(self, timeout: float) -> Response:
+        """The answer is as of the asking; how long it takes is its delay."""
+        self.reads += 1
+        self.under_way += 1
+        self.most_under_way = max(self.most_under_way, self.under_way)
+        delay = self.delays.pop(0) if self.delays else self.delay
+        response = Response(
+            self.status, json.dumps({"ledger": self.ledger, "log": self.log}).encode()
+        )
+        try:
+            with trio.move_on_after(timeout):
+                await trio.sleep(delay)
+                return response
+        finally:
+            self.under_way -= 1
+        raise HttpError(f"no answer in {timeout:g} s")
+
 
-Body = Callable[[Certifier, StateService], Awaitable[None]]
+Body = Callable[[Confirmations, StateService], Awaitable[None]]
 
 
 def play(monkeypatch: pytest.MonkeyPatch, body: Body) -> None:
-    """Run a certifier, whose copy covers every revision, on a mock clock."""
+    """Run confirmations, for a copy at revision 10, on a mock clock."""
 
     async def main() -> None:
         service = StateService(monkeypatch)
         store = Store("10.2.0.1:2379", LIMITS, 3, CALL_TIMEOUT)
         replica = Replica(store, 0.1, 1.0)
         replica.seen = 10
-        certifier = Certifier(store, replica, WAIT)
+        confirmations = Confirmations(store, replica, WAIT)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(certifier.run)
-            await body(certifier, service)
+            nursery.start_soon(confirmations.run)
+            await body(confirmations, service)
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-async def ask(certifier: Certifier, count: int) -> int:
+async def ask(confirmations: Confirmations, count: int) -> int:
     """How many of so many questions, asked at once, were confirmed."""
     confirmed = 0
 
     async def one() -> None:
         nonlocal confirmed
-        if await certifier.certify():
+        if isinstance(await confirmations.confirm(), Confirmed):
             confirmed += 1
 
     async with trio.open_nursery() as nursery:
@@ -79,6 +110,13 @@
     return confirmed
 
 
+async def timed(confirmations: Confirmations) -> tuple[Outcome, float]:
+    """An outcome, and the seconds until it came."""
+    asked_at = trio.current_time()
+    outcome = await confirmations.confirm()
+    return outcome, trio.current_time() - asked_at
+
+
 def test_outcome_of_a_question_given_up_confirms_no_later_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -88,14 +126,172 @@
     of an object that was free again; whoever got that address next, and gave up, was confirmed.
     """
 
-    async def body(certifier: Certifier, service: StateService) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
         service.delay = WAIT + 0.3
-        assert await ask(certifier, 300) == 0
-        await trio.sleep(1)  # the read ends: nobody waits any more
-        service.delay = None
+        assert await ask(confirmations, 300) == 0
+        await trio.sleep(1)  # the reads end: nobody waits any more
+        service.delay = HANGS
         confirmed = 0
         for _ in range(3):
-            confirmed += await ask(certifier, 300)
+            confirmed += await ask(confirmations, 300)
         assert confirmed == 0, f"{confirmed} of 900 confirmed by a store that never answered"
+        assert confirmations.counts == {Unanswered.TIMED_OUT: 1200}
+
+    play(monkeypatch, body)
+
+
+def test_nothing_is_left_of_a_question_whose_caller_was_cancelled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        service.delay = 0.5
+        with trio.move_on_after(0.1):
+            await confirmations.confirm()
+        await trio.sleep(1)
+        assert not confirmations._waiting
+        assert not confirmations.counts
+
+    play(monkeypatch, body)
+
+
+@pytest.mark.parametrize("hanging", [1, MOST_READS - 1])
+def test_reads_that_hang_hold_up_no_question(hanging: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """803 answers of 503: one read at a time, each up to 2 s, for waiters of 1.5 s."""
+
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        service.delays = [HANGS] * hanging
+        outcome, seconds = await timed(confirmations)
+        assert isinstance(outcome, Confirmed)
+        assert seconds < hanging * INTERVAL + 0.05
+        outcome, seconds = await timed(confirmations)
+        assert isinstance(outcome, Confirmed)
+        assert seconds < INTERVAL + 0.05
+
+    play(monkeypatch, body)
+
+
+def test_most_questions_are_confirmed_while_a_tenth_of_answers_is_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        service.delays = ([2.5] + [USUAL_DELAY] * 9) * 100
+        confirmed = 0
+        for _ in range(400):
+            await trio.sleep(0.02)
+            confirmed += await ask(confirmations, 1)
+        assert confirmed == 400
+
+    play(monkeypatch, body)
+
+
+def test_reads_are_bounded_while_the_store_hangs(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        service.delay = HANGS
+        for _ in range(4):
+            await ask(confirmations, 100)
+        assert service.most_under_way == MOST_READS
+        assert service.reads <= MOST_READS * 5
+        # And they go on as soon as it answers.
+        service.delay = USUAL_DELAY
+        assert await ask(confirmations, 100) == 100
+
+    play(monkeypatch, body)
+
+
+def test_many_questions_take_a_fifth_of_the_requests(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        end = trio.current_time() + 10
+        while trio.current_time() < end:
+            await ask(confirmations, 50)
+        assert service.reads <= 10 * 150 * 0.9 / 3 / REQUESTS_PER_READ + 1
+
+    play(monkeypatch, body)
+
+
+def test_read_sent_before_the_question_does_not_confirm_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        service.delays = [0.08]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(confirmations.confirm)
+            await trio.sleep(0.04)
+            asked_at = trio.current_time()
+            outcome = await confirmations.confirm()
+            assert isinstance(outcome, Confirmed)
+            assert outcome.read.asked_at >= asked_at
+        assert service.reads == 2
+
+    play(monkeypatch, body)
+
+
+@pytest.mark.parametrize(
+    ("status", "ledger", "log"),
+    [
+        (503, 10, []),
+        (429, 10, []),
+        (410, 10, []),  # the copy is too old
+        (200, 9, []),  # the answer to an older question
+        (200, 10, "rubbish"),
+    ],
+)
+def test_answer_that_confirms_nothing_is_passed_on_at_once(
+    status: int, ledger: int, log: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        service.status, service.ledger, service.log = status, ledger, log
+        outcome, seconds = await timed(confirmations)
+        assert isinstance(outcome, Unconfirmed)
+        assert outcome.why == Unanswered.REFUSED
+        assert seconds < 0.1
+
+    play(monkeypatch, body)
+
+
+def test_copy_that_was_never_loaded_confirms_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        confirmations.replica.seen = -1
+        outcome, seconds = await timed(confirmations)
+        assert isinstance(outcome, Unconfirmed)
+        assert (service.reads, seconds) == (0, 0.0)
+
+    play(monkeypatch, body)
+
+
+def test_late_answer_brings_no_removed_key_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Reads overlap, so an answer may come after one that knows more."""
+
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        replica = confirmations.replica
+        put = {"write": "pt/parts/0", "v": {"node": "n0"}, "stamp": 11}
+        service.ledger, service.log = 11, [put]
+        service.delays = [0.4]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(replica.refresh)
+            await trio.sleep(0.1)
+            service.ledger, service.log = 12, [put, {"remove": "pt/parts/0", "stamp": 12}]
+            newer_sent_at = trio.current_time()
+            await replica.refresh()
+            assert (replica.seen, replica.version("pt/parts/0")) == (12, 0)
+        assert (replica.seen, replica.version("pt/parts/0")) == (12, 0)
+        assert replica.fresh_at >= newer_sent_at  # no older than the newest evidence
+
+    play(monkeypatch, body)
+
+
+def test_answer_older_than_the_copy_does_not_vouch_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A repeated answer, read from a reused connection, would make old evidence young."""
+
+    async def body(confirmations: Confirmations, service: StateService) -> None:
+        replica = confirmations.replica
+        await replica.refresh()
+        fresh_at = replica.fresh_at
+        service.ledger = 9
+        await trio.sleep(1)
+        with pytest.raises(StoreDown):
+            await replica.refresh()
+        assert replica.fresh_at == fresh_at
 
     play(monkeypatch, body)
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,118 @@
+"""What a controller logs of its decisions, and loops that begin anew."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+import trio
+import trio.testing
+
+from pitchtally.control.decisions import Decision, DecisionLog, Evidence, Grounds
+from pitchtally.control.loops import Loops
+from pitchtally.replica import Refresh
+
+from .sim import Sim, job, run
+
+READ = Refresh(revision=431, asked_at=1.0, answered_at=1.25)
+
+
+def _log(counters: dict[str, int]) -> DecisionLog:
+    evidence = Evidence(430, 0.5, "n0", 17)
+    return DecisionLog(lambda: evidence, lambda: counters, lambda: None)
+
+
+def _on_mock_clock(body: object) -> None:
+    trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))  # type: ignore[arg-type]
+
+
+def test_debug_line_holds_the_grounds(caplog: pytest.LogCaptureFixture) -> None:
+    """Enough to tell a stale confirmation from an old answer and from a gap in the copy."""
+
+    async def main() -> None:
+        with caplog.at_level(logging.DEBUG, "decisions"):
+            _log({}).decided(Decision.UNKNOWN_JOB, "wk-000001", Grounds(read=READ))
+            _log({}).decided(Decision.START, "wk-000001/0", Grounds(5, token=17))
+
+    _on_mock_clock(main)
+    denied, started = (record.getMessage() for record in caplog.records)
+    for field in ("decided=unknown_job", "copy=430", "read=431", "asked=1.000", "answered=1.250"):
+        assert field in denied.split()
+    for field in ("decided=start", "about=wk-000001/0", "version=5", "token=17"):
+        assert field in started.split()
+
+
+def test_flood_of_decisions_is_one_line_a_period_at_info(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def main() -> None:
+        counters = {"confirmed": 0, "timed_out": 0}
+        decisions = _log(counters)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(decisions.run, 5.0)
+            for _ in range(1000):
+                decisions.decided(Decision.FOUND, "wk-000001", Grounds(read=READ))
+            counters["confirmed"], counters["timed_out"] = 1000, 3
+            await trio.sleep(5.1)
+            counters["confirmed"] = 1001
+            await trio.sleep(5.0)
+            nursery.cancel_scope.cancel()
+
+    with caplog.at_level(logging.INFO, "decisions"):
+        _on_mock_clock(main)
+    first, second = (record.getMessage().split() for record in caplog.records)
+    assert {"leader=n0", "token=17", "found=1000", "confirmed=1000", "timed_out=3"} <= set(first)
+    assert "confirmed=1" in second  # since the last line
+    assert not any(field.startswith(("found=", "timed_out=")) for field in second)
+
+
+def test_loop_that_ends_by_a_fault_begins_anew_and_is_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def main() -> None:
+        begun = 0
+
+        async def loop() -> None:
+            nonlocal begun
+            begun += 1
+            if begun <= 2:
+                raise KeyError("i-000001")
+            await trio.sleep_forever()
+
+        loops = Loops()
+        with trio.move_on_after(10):
+            await loops.keep("records", loop)
+        assert begun == 3
+        assert loops.faults == {"records": 2}
+
+    with caplog.at_level(logging.ERROR, "loops"):
+        _on_mock_clock(main)
+    assert [r.getMessage() for r in caplog.records] == [
+        "loop fault loop=records faults=1",
+        "loop fault loop=records faults=2",
+    ]
+
+
+def test_answers_starts_stops_and_ends_are_told(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A controller whose components don't report their decisions would log nothing of them."""
+
+    async def day(sim: Sim) -> None:
+        await sim.submit(job(1))
+        await sim.submit(job(2, rows=2, realS=60.0))
+        await trio.sleep(3)
+        assert (await sim.call(0, "GET", "/api/jobs/wk-999999")).status == 404
+        await sim.poll("wk-000002", 1)
+        await sim.cancel("wk-000002")
+        await sim.finish(["wk-000001", "wk-000002"])
+
+    with caplog.at_level(logging.DEBUG, "decisions"):
+        run(monkeypatch, day)
+    told = {
+        field
+        for record in caplog.records
+        for field in record.getMessage().split()
+        if field.startswith("decided=")
+    }
+    assert told == {f"decided={decision}" for decision in Decision}
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -13,7 +13,8 @@
 from pitchtally.control.evidence import Answer
 from pitchtally.control.members import Members, part_of
 from pitchtally.http import Request
-from pitchtally.store import Replica, Store
+from pitchtally.replica import Replica
+from pitchtally.store import Store
 
 from .sim import Sim, job, run, settings
 
