Replies name their message; a connection that has spoken out of turn isn't reused

Change: before a pooled connection is used again it must be silent and open (one recv). Calls to peers are numbered and replies repeat the number; a version that numbers nothing is still heard.

--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -24,6 +24,7 @@
 from ..store import Conflict, NoLease, Store, StoreDown, Write
 from .evidence import NEVER, Answer, cancellations_known, owned_alone
 from .messages import (
+    UNNUMBERED,
     Ack,
     Cancellation,
     Cancelled,
@@ -107,6 +108,7 @@
         self._tick_at = self.started_at
         self._resumed_at = -1e9
         self._sent = 0  # heartbeats
+        self._calls = 0  # messages to peers that call for a reply
         # What was known for certain once stays so, also when whoever told it is gone.
         self._cancellations_known_at = -1e9
         self._ownership_known_at = -1e9
@@ -370,13 +372,18 @@
 
     async def send(self, peer: Peer, message: Message) -> Message | None:
         """One message to a peer; its reply, or None without a usable one."""
+        self._calls += 1
+        call = self._calls
+        body = encode(msgspec.structs.replace(message, call=call))
         try:
             response = await self.client.call(
-                peer.address, "POST", "/peer", encode(message), timeout=self.policy.call_timeout
+                peer.address, "POST", "/peer", body, timeout=self.policy.call_timeout
             )
             if response.status != 200:
                 raise HttpError(f"status {response.status}")
             reply: Message = decode(response.body)
+            if reply.call not in (call, UNNUMBERED):
+                raise HttpError("a reply to another message")
         except (HttpError, msgspec.MsgspecError) as error:
             self.client.drop(peer.address)
             if not peer.failing:
@@ -473,6 +480,7 @@
         elif isinstance(message, Forward):
             found = await self.on_forward(Request(message.method, message.path, {}, message.body))
             reply = Forwarded(found.status, found.body, dict(found.headers).get("Retry-After", ""))
+        reply.call = message.call
         return Response(200, encode(reply), type="application/msgpack")
 
     def _take_heartbeat(self, heartbeat: Heartbeat, asked_at: float | None) -> None:
--- a/pitchtally/control/messages.py
+++ b/pitchtally/control/messages.py
@@ -2,6 +2,9 @@
 
 Fields go by their order, so a field may be renamed but not moved; a new one comes last and
 has a default, which keeps messages readable between neighbouring versions.
+
+Every message ends with the number of the call that it belongs to: the sender numbers its
+calls, and a reply repeats the number of the message that it answers.
 """
 
 from __future__ import annotations
@@ -14,6 +17,9 @@
 from .. import wire
 from .jobs import TaskRange
 
+# The number of a call by a version that numbers nothing.
+UNNUMBERED = 0
+
 
 class MachineFlag(StrEnum):
     """Why a machine takes no work; the values are those of earlier versions."""
@@ -85,12 +91,14 @@
     released: list[str]
     drain: list[str]
     tokens: list[tuple[int, int]] = []  # the newest fencing token known of each part
+    call: int = UNNUMBERED
 
 
 class Cancelled(Struct, array_like=True, tag="cancelled"):
     """A job was cancelled just now; sent once, for speed."""
 
     cancellation: Cancellation
+    call: int = UNNUMBERED
 
 
 class Forward(Struct, array_like=True, tag="forward"):
@@ -99,6 +107,7 @@
     method: str
     path: str
     body: bytes
+    call: int = UNNUMBERED
 
 
 class Forwarded(Struct, array_like=True, tag="forwarded"):
@@ -107,12 +116,14 @@
     status: int
     body: bytes
     retry_after: str
+    call: int = UNNUMBERED
 
 
 class SplitRequest(Struct, array_like=True, tag="split"):
     """A job that no part of its accepting controller keeps: the leader is to place it."""
 
     spec: wire.JobSpec
+    call: int = UNNUMBERED
 
 
 class SplitAnswer(Struct, array_like=True, tag="split_answer"):
@@ -120,11 +131,14 @@
 
     ranges: list[TaskRange]
     zone: str | None = None
+    call: int = UNNUMBERED
 
 
 class Ack(Struct, array_like=True, tag="ack"):
     """The message was taken in."""
 
+    call: int = UNNUMBERED
+
 
 Message = Heartbeat | Cancelled | Forward | Forwarded | SplitRequest | SplitAnswer | Ack
 
--- a/pitchtally/http/client.py
+++ b/pitchtally/http/client.py
@@ -23,6 +23,21 @@
         self.sock = sock
         self.used_at = trio.current_time()
 
+    def is_silent(self) -> bool:
+        """Whether the other side has said nothing since the last answer.
+
+        HTTP/1.1 matches an answer to its question by the connection alone. What came
+        between two questions (an answer once more, a late rest, the end of the connection)
+        would be read as the answer to the next.
+        """
+        try:
+            self.sock.recv(1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def close(self) -> None:
         """Close the socket."""
         trio.lowlevel.notify_closing(self.sock)
@@ -104,7 +119,7 @@
         pool = self._idle.get(address)
         while pool:
             link = pool.pop()
-            if trio.current_time() - link.used_at < self.idle:
+            if trio.current_time() - link.used_at < self.idle and link.is_silent():
                 return link
             link.close()
         return None
