The machines' record is written from what is there, not from a pass's beginning

Cause: `Records._write` gathered the rows of all chunks once and then waited for tokens and answers between them. A machine that was released meanwhile raised KeyError where its chunk was unchanged (the neighbouring branch checked), and was written back into the record where it had changed: a row that outlives its machine. With the part lost meanwhile the same.

Change: the rows of a chunk are built as it is written, only for machines that are there, and a pass ends with the part; both branches mark machines in one function that checks. Rows are a named type.

Measured: three of the four tests of test_records.py fail before (KeyError twice, the row written back) and pass.

--- a/pitchtally/control/records.py
+++ b/pitchtally/control/records.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Any
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 import trio
@@ -24,12 +25,21 @@
 encode = msgspec.json.encode
 
 
+class MachineRow(NamedTuple):
+    """What the record holds of a machine; stored as an array."""
+
+    type: str
+    zone: str
+    spot: bool
+    address: str
+
+
 class Records:
     """Chunks of a part's record: names with type, zone, kind and address."""
 
     def __init__(self, workers: Workers) -> None:
         self.workers = workers
-        self.chunks: dict[tuple[int, int], dict[str, list[Any]]] = {}
+        self.chunks: dict[tuple[int, int], dict[str, MachineRow]] = {}
         self.wake = trio.Event()
         state = workers.settings.deployment.state
         # Machines that one chunk may name; about 100 bytes each.
@@ -42,7 +52,7 @@
         if value is None:
             self.chunks.pop(where, None)
         else:
-            self.chunks[where] = msgspec.json.decode(value, type=dict[str, list[Any]])
+            self.chunks[where] = msgspec.json.decode(value, type=dict[str, MachineRow])
 
     def chunk_of(self, machine: str) -> int:
         """The number of the chunk that names a machine."""
@@ -50,9 +60,9 @@
         number = int(digits) if digits.isdigit() and len(digits) < 19 else 0
         return number // self.workers.count // self.span
 
-    def of(self, part: int) -> dict[str, list[Any]]:
+    def of(self, part: int) -> dict[str, MachineRow]:
         """Every recorded machine of a part."""
-        out: dict[str, list[Any]] = {}
+        out: dict[str, MachineRow] = {}
         for (p, _), chunk in self.chunks.items():
             if p == part:
                 out.update(chunk)
@@ -73,31 +83,46 @@
                     await trio.sleep(0.2)
 
     async def _write(self, hold: PartHold) -> None:
+        """Bring a part's record up to its machines, chunk by chunk."""
         if not hold.loaded:
             return
-        wanted: dict[int, dict[str, list[Any]]] = {}
+        names: dict[int, list[str]] = {}
         for machine in self.workers.of_part(hold.part):
             if machine.confirmed or machine.recorded:
-                row = [machine.type, machine.zone, machine.spot, machine.address]
-                wanted.setdefault(self.chunk_of(machine.name), {})[machine.name] = row
-        chunks = {c for p, c in self.chunks if p == hold.part} | set(wanted)
-        for chunk in chunks:
-            rows = wanted.get(chunk, {})
-            now = self.chunks.get((hold.part, chunk), {})
-            if rows == now:
-                for name in rows:
-                    self.workers.machines[name].recorded = True
-                continue
-            key = f"pt/fleet/{hold.part}/{chunk}"
-            conditions = {
-                f"pt/parts/{hold.part}": hold.token,
-                key: self.workers.replica.version(key),
-            }
-            # A name leaves the record only once its machine is known to be gone.
-            done = await self.workers.job_store.commit(
-                conditions, [Write(key, encode(rows))], priority=tokens.COMPLETIONS
-            )
-            if done and self.workers.parts.get(hold.part) is hold:
-                for name in rows:
-                    if name in self.workers.machines:
-                        self.workers.machines[name].recorded = True
+                names.setdefault(self.chunk_of(machine.name), []).append(machine.name)
+        chunks = {chunk for part, chunk in self.chunks if part == hold.part} | set(names)
+        for chunk in sorted(chunks):
+            # At thousands of machines a pass has dozens of chunks, and waits for tokens
+            # and answers between them. So the part is looked at anew before each.
+            if self.workers.parts.get(hold.part) is not hold:
+                return
+            await self._write_chunk(hold, chunk, names.get(chunk, []))
+
+    async def _write_chunk(self, hold: PartHold, chunk: int, names: list[str]) -> None:
+        # A machine that went since the pass began is left out: its row would outlive it.
+        rows = {
+            name: MachineRow(machine.type, machine.zone, machine.spot, machine.address)
+            for name in names
+            if (machine := self.workers.machines.get(name)) is not None
+        }
+        if rows == self.chunks.get((hold.part, chunk), {}):
+            self._mark_recorded(rows)
+            return
+        key = f"pt/fleet/{hold.part}/{chunk}"
+        conditions = {
+            f"pt/parts/{hold.part}": hold.token,
+            key: self.workers.replica.version(key),
+        }
+        # A name leaves the record only once its machine is known to be gone.
+        done = await self.workers.job_store.commit(
+            conditions, [Write(key, encode(rows))], priority=tokens.COMPLETIONS
+        )
+        if done and self.workers.parts.get(hold.part) is hold:
+            self._mark_recorded(rows)
+
+    def _mark_recorded(self, names: Iterable[str]) -> None:
+        """Tasks may start on these machines, as far as they are still there."""
+        for name in names:
+            machine = self.workers.machines.get(name)
+            if machine is not None:
+                machine.recorded = True
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,148 @@
+"""The record of machines, while machines come and go during its writes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from pitchtally import policy, wire
+from pitchtally.control.machines import Machine, PartHold
+from pitchtally.control.members import Owner
+from pitchtally.control.service import Controller
+from pitchtally.http import Client, Response
+
+from .sim import settings
+
+PART, TOKEN = 0, 50
+TYPE = wire.MachineType("big", cpus=8.0, memory=32.0, zones=["a"])
+
+
+class Store:
+    """Commits everything; before each answer it lets the test change the world."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch):
+        self.written: dict[str, Any] = {}
+        self.during_commit: Callable[[], None] = lambda: None
+        service = self
+
+        async def call(
+            self: Client,
+            address: tuple[str, int],
+            method: str,
+            target: str,
+            body: bytes = b"",
+            *,
+            timeout: float,
+        ) -> Response:
+            await trio.sleep(0.005)
+            for write in json.loads(body)["writes"]:
+                service.written[write["write"]] = write["v"]
+            service.during_commit()
+            return Response(200, b'{"ledger":60}')
+
+        monkeypatch.setattr(Client, "call", call)
+
+
+class Fleet:
+    """An owner of part 0 whose machines' names fall into two chunks of its record."""
+
+    def __init__(self) -> None:
+        config = settings("n0")
+        self.controller = controller = Controller(config, policy.parse("", config))
+        controller.fleet.types = {"big": TYPE}
+        controller.replica.seen = TOKEN
+        controller.members.owners[PART] = (Owner("n0", controller.members.incarnation), TOKEN)
+        controller.members._announce(PART)
+        self.workers = controller.workers
+        self.workers.load(self.hold)
+        span = controller.workers.records.span * controller.workers.count
+        self.first = self._add(0)
+        self.second = self._add(span)
+
+    @property
+    def hold(self) -> PartHold:
+        return self.workers.parts[PART]
+
+    def _add(self, number: int) -> Machine:
+        machine = self.workers._add(f"i-{number:06d}", "big", "a", False, "10.1.0.1:9000")
+        machine.confirmed = True
+        return machine
+
+    async def write(self) -> None:
+        await self.workers.records._write(self.hold)
+
+    def chunk(self, machine: Machine) -> int:
+        return self.workers.records.chunk_of(machine.name)
+
+
+def _play(monkeypatch: pytest.MonkeyPatch, body: Any) -> None:
+    async def main() -> None:
+        await body(Fleet(), Store(monkeypatch))
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_machine_released_while_an_earlier_chunk_is_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """KeyError: rows were gathered once, and machines went while chunks before were written."""
+
+    async def body(fleet: Fleet, store: Store) -> None:
+        await fleet.write()
+        assert fleet.chunk(fleet.first) != fleet.chunk(fleet.second)
+        fleet.first.address = "10.1.0.1:9001"  # its chunk is written anew
+        store.during_commit = lambda: fleet.workers.forget_machine(fleet.second.name)
+        await fleet.write()
+        await fleet.write()
+        assert store.written[f"pt/fleet/0/{fleet.chunk(fleet.second)}"] == {}
+
+    _play(monkeypatch, body)
+
+
+def test_row_of_a_released_machine_is_not_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A chunk that changes was written with what had been there before the wait."""
+
+    async def body(fleet: Fleet, store: Store) -> None:
+        store.during_commit = lambda: fleet.workers.forget_machine(fleet.second.name)
+        await fleet.write()
+        assert fleet.second.name not in store.written.get(
+            f"pt/fleet/0/{fleet.chunk(fleet.second)}", {}
+        )
+
+    _play(monkeypatch, body)
+
+
+def test_part_lost_while_its_record_is_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its machines are forgotten with it; the rest of the record is the next owner's affair."""
+
+    async def body(fleet: Fleet, store: Store) -> None:
+        await fleet.write()
+        fleet.first.address = "10.1.0.1:9001"
+        second = f"pt/fleet/0/{fleet.chunk(fleet.second)}"
+        store.during_commit = lambda: fleet.workers.drop_part(PART)
+        store.written.pop(second)
+        await fleet.write()
+        assert second not in store.written
+
+    _play(monkeypatch, body)
+
+
+def test_machine_is_recorded_only_once_its_row_is_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A task may start only where a later owner finds the machine."""
+
+    async def body(fleet: Fleet, store: Store) -> None:
+        assert not fleet.first.recorded
+        await fleet.write()
+        assert fleet.first.recorded and fleet.second.recorded
+        fleet.first.recorded = False
+        await fleet.write()  # the row stands already
+        assert fleet.first.recorded
+
+    _play(monkeypatch, body)
