--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for measurements at sizes that no recorded deployment has."""
--- /dev/null
+++ b/experiments/scale_site.py
@@ -0,0 +1,148 @@
+"""Writes a deployment's site file anew, scaled.
+
+`python3 -m experiments.scale_site SITE OUT --machines 9 --limits 4` makes a deployment with
+nine times the machines and four times the limits of another one. What is scaled by which
+factor is listed in `RULES`; docs/scaling.md tells how to use it.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import click
+import tomli_w
+
+Table = dict[str, Any]
+
+
+class SiteError(Exception):
+    """A site file, or a setting for one, that can't be used; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Factors:
+    """By how much a deployment is larger than the one that its site file describes."""
+
+    machines: float = 1.0
+    arrivals: float = 1.0
+    limits: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """The fields of some tables, and the factor that they are multiplied by."""
+
+    path: tuple[str, ...]  # a table, or an array of tables, by the names that lead to it
+    fields: tuple[str, ...]
+    factor: str  # a field of `Factors`
+
+
+RULES = (
+    Rule(("capacity",), ("count", "spot"), "machines"),
+    Rule(("machines",), ("count",), "machines"),
+    Rule(("teams",), ("cpus", "cpus_max", "gpus", "gpus_max"), "machines"),
+    Rule(("jobs",), ("initial",), "arrivals"),
+    Rule(("jobs", "arrivals"), ("rate",), "arrivals"),
+    Rule(("nodes",), ("max_connections", "memory_mb"), "limits"),
+    Rule(("state",), ("rps", "write_rps"), "limits"),
+    Rule(("cloud",), ("rps",), "limits"),
+)
+# Troubles that strike so many machines; one of a fraction of them scales by itself.
+MACHINE_TROUBLE = "machine_"
+
+
+def scale(site: Table, factors: Factors) -> Table:
+    """A site's tables with its machines, arrivals and limits multiplied."""
+    for rule in RULES:
+        factor = getattr(factors, rule.factor)
+        for table in _tables(site, rule.path):
+            _multiply(table, rule.fields, factor)
+    for day in site.get("day", []):
+        for trouble in day.get("faults", []):
+            if trouble.get("kind", "").startswith(MACHINE_TROUBLE):
+                _multiply(trouble, ("count",), factors.machines)
+    return site
+
+
+def assign(site: Table, setting: str) -> None:
+    """Set one figure, as in `nodes.cpu_share=1.0`; raises SiteError."""
+    path, equals, text = setting.partition("=")
+    *names, field = path.split(".")
+    try:
+        value = float(text) if "." in text else int(text)
+    except ValueError:
+        raise SiteError(f"{setting}: not NAME.NAME=NUMBER") from None
+    tables = list(_tables(site, tuple(names)))
+    if not equals or not names or len(tables) != 1 or field not in tables[0]:
+        raise SiteError(f"{setting}: the site file has no such figure")
+    tables[0][field] = value
+
+
+def _tables(site: Table, path: tuple[str, ...]) -> Iterable[Table]:
+    """Every table that a path leads to, through arrays of tables too."""
+    found: list[Table] = [site]
+    for name in path:
+        below = [table[name] for table in found if name in table]
+        found = [t for item in below for t in (item if isinstance(item, list) else [item])]
+    return found
+
+
+def _multiply(table: Table, fields: tuple[str, ...], factor: float) -> None:
+    for field in fields:
+        value = table.get(field)
+        if isinstance(value, int):
+            # A figure that was there stays there, also in a smaller deployment.
+            table[field] = max(round(value * factor), 1 if value else 0)
+        elif isinstance(value, float):
+            table[field] = value * factor
+
+
+def read(path: Path) -> Table:
+    """The tables of a site file; raises SiteError."""
+    try:
+        return tomllib.loads(path.read_text())
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SiteError(f"{path}: {error}") from None
+
+
+def scaled_text(source: Path, out: Path, factors: Factors, settings: Iterable[str]) -> str:
+    """The text of the scaled site file; raises SiteError."""
+    site = scale(read(source), factors)
+    for setting in settings:
+        assign(site, setting)
+    site["name"] = out.stem
+    if "wire" in site:
+        # Named by its place beside the site file, which the new one may not share.
+        site["wire"] = os.path.relpath(source.parent / site["wire"], out.parent)
+    return tomli_w.dumps(site)
+
+
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.argument("source", type=click.Path(path_type=Path))
+@click.argument("out", type=click.Path(path_type=Path))
+@click.option("--machines", default=1.0, show_default=True, help="Factor for machines.")
+@click.option("--arrivals", default=1.0, show_default=True, help="Factor for arriving jobs.")
+@click.option("--limits", default=1.0, show_default=True, help="Factor for limits.")
+@click.option("--set", "settings", multiple=True, help="One figure, as nodes.cpu_share=1.0.")
+def main(
+    source: Path, out: Path, machines: float, arrivals: float, limits: float, settings: list[str]
+) -> None:
+    """Write the site file SOURCE to OUT, scaled."""
+    try:
+        if min(machines, arrivals, limits) <= 0:
+            raise SiteError("a factor must be above 0")
+        text = scaled_text(
+            source.absolute(), out.absolute(), Factors(machines, arrivals, limits), settings
+        )
+    except SiteError as error:
+        raise click.ClickException(str(error)) from None
+    out.write_text(text)
+
+
+if __name__ == "__main__":
+    main()
