Placements and their sums in a module of their own; reports counted; 404 only without a record

Reports are counted by status in the line of counters. The tests' stand-in for single calls stands once (tests/answers.py). Cause of none of it is a failure seen.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -167,9 +167,14 @@
         job = self.job_store.jobs.get(id)
         if job is not None:
             return self._found(job, outcome)
-        if exists:
+        return self._unknown(id, outcome, exists=exists)
+
+    def _unknown(self, id: str, confirmed: Confirmed, *, exists: bool = False) -> Response:
+        """The answer for a job that the copy doesn't show: 404 only if it has no record."""
+        if exists or self.replica.version(f"pt/jobs/{id}"):
+            # There is a record that this node lacks or can't read, of a later version perhaps.
             return _busy("the state can't be confirmed now", 1)
-        self.decided(Decision.UNKNOWN_JOB, id, Grounds(read=outcome.read))
+        self.decided(Decision.UNKNOWN_JOB, id, Grounds(read=confirmed.read))
         return _error(404, "ref", "unknown job")
 
     def _found(self, job: Job, confirmed: Confirmed | None) -> Response:
@@ -307,8 +312,7 @@
                 if not isinstance(outcome, Confirmed):
                     break
                 if id not in self.job_store.jobs:
-                    self.decided(Decision.UNKNOWN_JOB, id, Grounds(read=outcome.read))
-                    return _error(404, "ref", "unknown job")
+                    return self._unknown(id, outcome)
                 continue
             try:
                 await self._commit_cancellation(job)
--- a/pitchtally/control/part_statuses.py
+++ b/pitchtally/control/part_statuses.py
@@ -106,7 +106,7 @@
         status = PartStatus(
             part, hold.token if hold else 0, work.settled, queued, 0.0, machines, [], waiting
         )
-        status.running = self.workers.running(part)
+        status.running = self.workers.placements.running(part)
         status.kept = [machine.name for machine in kept]
         status.reserved = [machine.reserved[0] for machine in kept if machine.reserved]
         work.ready = {
@@ -269,7 +269,7 @@
         return sum(
             load.running
             for part in self.split.parts.work
-            for jobs in self.workers.loads.get(part, {}).values()
+            for jobs in self.workers.placements.loads.get(part, {}).values()
             if (load := jobs.get(id)) is not None
         ) or sum(
             status.running.get(id, 0)
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -83,7 +83,7 @@
         machine_group.machines.append(machine)
 
     def _add_loads(self, work: PartWork, part: int, left: dict[str, float], now: float) -> None:
-        for group, jobs in self.workers.loads.get(part, {}).items():
+        for group, jobs in self.workers.placements.loads.get(part, {}).items():
             machine_group = work.machine_groups.get(group)
             for id, load in jobs.items():
                 work.running[load.rank] += load.count
@@ -359,7 +359,7 @@
         """Give a task its place on a machine; the next report starts it."""
         placement = Placement(holding.job, task, attempt, machine)
         holding.placed[task] = placement
-        self.workers.put(placement)
+        self.workers.placements.put(placement)
         holding.since = trio.current_time()
 
     def vacate(self, part: int) -> None:
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -125,7 +125,7 @@
     def _counters(self) -> dict[str, int]:
         """Totals that other components count."""
         faults = {f"fault_{name}": count for name, count in self.loops.faults.items()}
-        return {**self.api.confirmations.counts, **faults}
+        return {**self.api.confirmations.counts, **self.workers.answered, **faults}
 
     def _split(self, spec: wire.JobSpec) -> SplitAnswer:
         plan = self.split.decide_as_leader(spec)
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -69,7 +69,7 @@
 
     def use(self, part: int, team: str) -> tuple[float, float]:
         """CPUs and GPUs that a team's tasks take in a part."""
-        return self.workers.use(part, team)
+        return self.workers.placements.use(part, team)
 
     def tasks_within_limit(self, part: int, spec: wire.JobSpec) -> int:
         """How many more tasks of this job the team's share allows in the part."""
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Collection
 
 import msgspec
@@ -24,8 +25,9 @@
 from .direct_commands import DirectCommands
 from .evidence import lease_over
 from .jobs import JobStore
-from .machines import MAX_UNACKNOWLEDGED, Group, Load, Machine, PartHold, Placement
+from .machines import MAX_UNACKNOWLEDGED, Group, Machine, PartHold, Placement
 from .members import Members, part_of
+from .placements import Placements
 from .records import Records
 
 log = logging.getLogger("workers")
@@ -55,12 +57,8 @@
         self.types = types
         self.count = settings.deployment.count
         self.machines: dict[str, Machine] = {}
-        # Kept up with every change: nothing that a report asks for may cost more with
-        # more machines, jobs or tasks in the part.
         self.in_part: dict[int, dict[str, Machine]] = {}
-        self.by_job: dict[str, dict[Placement, None]] = {}  # a set in order: days repeat
-        self.team_use: dict[tuple[int, str], list[float]] = {}  # CPUs, GPUs, tasks
-        self.loads: dict[int, dict[Group, dict[str, Load]]] = {}  # part -> like machines -> job
+        self.placements = Placements()
         self.parts: dict[int, PartHold] = {}
         self.machines_with_orphans: dict[int, set[str]] = {}  # machines with orphans, by part
         self.released: dict[str, float] = {}  # names the cloud has confirmed gone
@@ -76,6 +74,7 @@
         self.on_lost_part: Callable[[int], None] = lambda part: None
         self.adopt: Callable[[Placement], bool] = lambda placement: True
         self.decided: Decided = ignore_decision
+        self.answered: Counter[str] = Counter()  # reports, by the status of the answer
 
     # --- ownership -----------------------------------------------------------
 
@@ -92,81 +91,11 @@
         self.machines_with_orphans.pop(part, None)
         for machine in self.in_part.pop(part, {}).values():
             for placement in list(machine.placements.values()):
-                self.drop(placement)
+                self.placements.drop(placement)
             del self.machines[machine.name]
         self.on_lost_part(part)
 
-    # --- places ----------------------------------------------------------------
-
-    def put(self, placement: Placement) -> None:
-        """A task takes its place on a machine."""
-        machine = placement.machine
-        old = machine.placements.get(placement.key)
-        if old is not None:
-            self.drop(old)
-        machine.placements[placement.key] = placement
-        machine.count(placement, 1.0)
-        self.by_job.setdefault(placement.job.id, {})[placement] = None
-        use = self.team_use.setdefault((machine.part, placement.team), [0.0, 0.0, 0.0])
-        use[0] += placement.need[0]
-        use[1] += placement.need[1]
-        use[2] += 1
-        jobs = self.loads.setdefault(machine.part, {}).setdefault(machine.group, {})
-        load = jobs.get(placement.job.id)
-        if load is None:
-            load = jobs[placement.job.id] = Load(placement.need, placement.rank)
-        load.count += 1
-        if placement.run_at is not None:
-            load.running += 1
-            load.begun += placement.run_at
-
-    def drop(self, placement: Placement) -> bool:
-        """The place is free again; False if it was already."""
-        machine = placement.machine
-        if machine.placements.get(placement.key) is not placement:
-            return False
-        del machine.placements[placement.key]
-        machine.count(placement, -1.0)
-        mates = self.by_job.get(placement.job.id)
-        if mates is not None:
-            mates.pop(placement, None)
-            if not mates:
-                del self.by_job[placement.job.id]
-        use = self.team_use[(machine.part, placement.team)]
-        use[0] -= placement.need[0]
-        use[1] -= placement.need[1]
-        use[2] -= 1
-        if not use[2]:
-            use[0] = use[1] = 0.0  # sums drift, limits must not
-        jobs = self.loads[machine.part][machine.group]
-        load = jobs[placement.job.id]
-        load.count -= 1
-        if placement.run_at is not None:
-            load.running -= 1
-            load.begun -= placement.run_at
-        if not load.count:
-            del jobs[placement.job.id]
-        return True
-
-    def _runs(self, placement: Placement) -> None:
-        placement.run_at = trio.current_time()
-        load = self.loads[placement.machine.part][placement.machine.group][placement.job.id]
-        load.running += 1
-        load.begun += placement.run_at
-
-    def running(self, part: int) -> dict[str, int]:
-        """Tasks of each job seen running on the part's machines."""
-        out: dict[str, int] = {}
-        for jobs in self.loads.get(part, {}).values():
-            for id, load in jobs.items():
-                if load.running:
-                    out[id] = out.get(id, 0) + load.running
-        return out
-
-    def use(self, part: int, team: str) -> tuple[float, float]:
-        """CPUs and GPUs that a team's tasks take in a part."""
-        found = self.team_use.get((part, team))
-        return (found[0], found[1]) if found is not None else (0.0, 0.0)
+    # --- machines ---------------------------------------------------------------
 
     def _pop(self, name: str) -> None:
         machine = self.machines.pop(name, None)
@@ -222,6 +151,11 @@
 
     async def serve(self, request: Request) -> Response:
         """Answer a worker's report."""
+        response = self._answer(request)
+        self.answered[f"reports_{response.status}"] += 1
+        return response
+
+    def _answer(self, request: Request) -> Response:
         try:
             report = _report.decode(request.body)
         except msgspec.MsgspecError as error:
@@ -350,7 +284,7 @@
 
     def _gone(self, placement: Placement, cause: str) -> None:
         machine = placement.machine
-        self.drop(placement)
+        self.placements.drop(placement)
         if not machine.placements:
             machine.idle_since = trio.current_time()
         self.on_gone(placement, cause)
@@ -419,14 +353,14 @@
                 if self._over(key):
                     machine.orphans[key] = task.attempt
                 return
-            self.put(placement)
+            self.placements.put(placement)
             if not self.adopt(placement):
                 placement.grace = 0.0
         placement.seen = True
         if task.state != placement.state:
             placement.state = task.state
             if task.state == wire.RUNNING and placement.run_at is None:
-                self._runs(placement)
+                self.placements.runs(placement)
         if placement.spec.image:
             machine.images[placement.spec.image] = trio.current_time()
 
@@ -476,7 +410,7 @@
             log.info("task failed task=%s machine=%s", key, machine.name)
         elif cause not in (wire.STOPPED,):
             log.info("task ended task=%s machine=%s cause=%s", key, machine.name, cause)
-        self.drop(placement)
+        self.placements.drop(placement)
         if not machine.placements:
             machine.idle_since = now
         self.on_gone(placement, cause)
@@ -570,7 +504,7 @@
 
     def stop_job(self, id: str) -> None:
         """A cancelled job: all its tasks, wherever they are."""
-        for placement in list(self.by_job.get(id, ())):
+        for placement in self.placements.of_job(id):
             self.stop(placement, 0.0)
 
     # --- loops ------------------------------------------------------------------------
--- a/tests/test_confirmations.py
+++ b/tests/test_confirmations.py
@@ -19,11 +19,13 @@
     Unanswered,
     Unconfirmed,
 )
-from pitchtally.http import Client, HttpError, Response
+from pitchtally.http import HttpError, Response
 from pitchtally.replica import Replica
 from pitchtally.settings import StateLimits
 from pitchtally.store import Store, StoreDown
 
+from .answers import Call, answer_calls
+
 LIMITS = StateLimits(rps=150, write_rps=30, value_kb=8, txn_ops=8)
 CALL_TIMEOUT = 2.0
 WAIT = 1.5  # how long a question waits for its confirmation
@@ -42,22 +44,9 @@
         self.ledger = 10
         self.log: list[dict[str, Any]] = []
         self.reads = self.under_way = self.most_under_way = 0
-        service = self
-
-        async def call(
-            self: Client,
-            address: tuple[str, int],
-            method: str,
-            target: str,
-            body: bytes = b"",
-            *,
-            timeout: float,
-        ) -> Response:
-            return await service.answer(timeout)
-
-        monkeypatch.setattr(Client, "call", call)
-
-    async def answer(self, timeout: float) -> Response:
+        answer_calls(monkeypatch, self.answer)
+
+    async def answer(self, call: Call) -> Response:
         """The answer is as of the asking; how long it takes is its delay."""
         self.reads += 1
         self.under_way += 1
@@ -67,12 +56,12 @@
             self.status, json.dumps({"ledger": self.ledger, "log": self.log}).encode()
         )
         try:
-            with trio.move_on_after(timeout):
+            with trio.move_on_after(call.timeout):
                 await trio.sleep(delay)
                 return response
         finally:
             self.under_way -= 1
-        raise HttpError(f"no answer in {timeout:g} s")
+        raise HttpError(f"no answer in {call.timeout:g} s")
 
 
 Body = Callable[[Confirmations, StateService], Awaitable[None]]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -104,25 +104,27 @@
         for turn in range(400):
             await trio.sleep(luck.random())
             if placed and luck.random() < 0.4:
-                assert owner.workers.drop(placed.pop(luck.randrange(len(placed))))
+                assert owner.workers.placements.drop(placed.pop(luck.randrange(len(placed))))
                 continue
             one = Placement(luck.choice(jobs), turn, turn, luck.choice(machines))
-            owner.workers.put(one)
+            owner.workers.placements.put(one)
             placed.append(one)
             if luck.random() < 0.7:
-                owner.workers._runs(one)
+                owner.workers.placements.runs(one)
         now, seconds = trio.current_time(), 1000.0
         for each in jobs:
             mine = [p for p in placed if p.job is each]
             walk = sum(seconds - (now - p.run_at if p.run_at is not None else 0) for p in mine)
-            load = owner.workers.loads[0][("big", "a", False)][each.id]
+            load = owner.workers.placements.loads[0][("big", "a", False)][each.id]
             assert load.left(seconds, now) == pytest.approx(walk)
             assert load.count == len(mine)
             assert share_of(load.need, TYPE) == each.spec.cpus / 64
-            assert owner.workers.running(0)[each.id] == sum(p.run_at is not None for p in mine)
+            assert owner.workers.placements.running(0)[each.id] == sum(
+                p.run_at is not None for p in mine
+            )
         for one in placed:
-            owner.workers.drop(one)
-        assert not any(owner.workers.loads[0].values())
+            owner.workers.placements.drop(one)
+        assert not any(owner.workers.placements.loads[0].values())
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -14,8 +14,9 @@
 from pitchtally.control.machines import Machine, PartHold
 from pitchtally.control.members import Owner
 from pitchtally.control.service import Controller
-from pitchtally.http import Client, Response
+from pitchtally.http import Response
 
+from .answers import Call, answer_calls
 from .sim import settings
 
 PART, TOKEN = 0, 50
@@ -28,24 +29,14 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch):
         self.written: dict[str, Any] = {}
         self.during_commit: Callable[[], None] = lambda: None
-        service = self
-
-        async def call(
-            self: Client,
-            address: tuple[str, int],
-            method: str,
-            target: str,
-            body: bytes = b"",
-            *,
-            timeout: float,
-        ) -> Response:
-            await trio.sleep(0.005)
-            for write in json.loads(body)["writes"]:
-                service.written[write["write"]] = write["v"]
-            service.during_commit()
-            return Response(200, b'{"ledger":60}')
-
-        monkeypatch.setattr(Client, "call", call)
+        answer_calls(monkeypatch, self._commit)
+
+    async def _commit(self, call: Call) -> Response:
+        await trio.sleep(0.005)
+        for write in json.loads(call.body)["writes"]:
+            self.written[write["write"]] = write["v"]
+        self.during_commit()
+        return Response(200, b'{"ledger":60}')
 
 
 class Fleet:
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -31,6 +31,7 @@
 from pitchtally.http import Client, HttpError, Request, Response
 from pitchtally.store import Write
 
+from .answers import Call, answer_calls
 from .sim import job, sent, settings
 
 # --- pooled connections -----------------------------------------------------------------
@@ -109,18 +110,10 @@
 def _members(monkeypatch: pytest.MonkeyPatch, reply: Reply) -> Members:
     """A controller's members, whose peers answer each message with `reply`."""
 
-    async def call(
-        self: Client,
-        address: tuple[str, int],
-        method: str,
-        target: str,
-        body: bytes = b"",
-        *,
-        timeout: float,
-    ) -> Response:
-        return Response(200, encode(reply(decode(body))))
-
-    monkeypatch.setattr(Client, "call", call)
+    async def answer(call: Call) -> Response:
+        return Response(200, encode(reply(decode(call.body))))
+
+    answer_calls(monkeypatch, answer)
     config = settings("n0")
     members = Controller(config, policy.parse("", config)).members
     members._calls = 40  # some were made before
@@ -226,27 +219,25 @@
         spec = parse_job(json.dumps(sent(job(1))).encode())
         controller.replica.seen = 10
 
-        async def call(
-            self: Client,
-            address: tuple[str, int],
-            method: str,
-            target: str,
-            body: bytes = b"",
-            *,
-            timeout: float,
-        ) -> Response:
-            if target == "/commit":
+        async def answer(call: Call) -> Response:
+            if call.target == "/commit":
                 return Response(409, b'{"failed":["pt/jobs/wk-000001"],"ledger":12}')
-            if target.startswith("/follow"):
+            if call.target.startswith("/follow"):
                 return Response(200, b'{"ledger":12,"log":[]}')  # it lacks the record
             raise HttpError("refused")
 
-        monkeypatch.setattr(Client, "call", call)
+        async def poll() -> Response:
+            return await controller.api.poll(spec.id)
+
+        answer_calls(monkeypatch, answer)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(controller.api.confirmations.run)
             nursery.start_soon(controller.api.acceptances.run)
-            response = await controller.api._accept(spec)
-            assert response.status == 503
+            assert (await controller.api._accept(spec)).status == 503
+            assert (await poll()).status == 404  # nothing else is known of it
+            controller.replica.learn(f"pt/jobs/{spec.id}", b'{"of":"a later version"}', 11)
+            assert (await poll()).status == 503
+            assert (await controller.api.cancel(spec.id)).status == 503
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
