--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -1,4 +1,4 @@
-"""Users' requests: validation, acceptance in one commit, certified answers.
+"""Users' requests: validation, acceptance in one commit, confirmed answers.
 
 An answer that isn't final is confirmed first: the copy has to cover a revision of the
 store that was read after the question came (`confirmations`).
--- a/pitchtally/control/confirmations.py
+++ b/pitchtally/control/confirmations.py
@@ -27,8 +27,9 @@
 # One read may begin for as many requests as this node's share allows in the same time: a
 # fifth of them at the most, with polls coming all the time. The rest is left to commits.
 REQUESTS_PER_READ = 5.0
-# Reads under way at once: as many connections as the store's client keeps.
-MOST_READS = 8
+# Reads under way at once; each takes a connection. With a tenth of the answers late by
+# seconds, some five hang at any time where requests are plenty.
+MOST_READS = 16
 
 
 class Unanswered(StrEnum):
