--- a/pitchtally/control/decisions.py
+++ b/pitchtally/control/decisions.py
@@ -39,7 +39,7 @@
     version: int | None = None  # of the job's record
     read: Refresh | None = None  # that confirmed the copy
     token: int | None = None  # under which an order is given
-    detail: str = ""
+    machine: str | None = None  # that gets the order
 
 
 NO_GROUNDS = Grounds()
@@ -98,8 +98,8 @@
             fields.append(f"version={grounds.version}")
         if grounds.token is not None:
             fields.append(f"token={grounds.token}")
-        if grounds.detail:
-            fields.append(grounds.detail)
+        if grounds.machine is not None:
+            fields.append(f"machine={grounds.machine}")
         log.debug(" ".join(fields))
 
     def summary(self) -> str:
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -1,43 +1,32 @@
-"""Gangs, and other jobs that stay whole: planned over parts, kept room, started at once."""
+"""Gangs, and other jobs that stay whole, in a part: kept room, started at once, given back."""
 
 from __future__ import annotations
 
 import logging
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
-import msgspec
 import trio
 
-from .. import wire
 from ..store import StoreDown
 from .capacity import (
-    CapacitySource,
-    Plan,
     covered,
     fits,
-    group_ok,
-    plan_gang,
     times,
     whole,
 )
 from .component import SchedulerComponent
+from .gang_planning import goes_on
 from .holdings import Holding, PartWork
-from .jobs import Bits, Job, TaskRange, merge
+from .jobs import Job, TaskRange, merge
 from .machines import Machine, Need, need_of
-from .messages import MachineFlag, PartStatus
 
 if TYPE_CHECKING:
-    from .split import Split
+    pass
 
 log = logging.getLogger("gangs")
 
 # Pieces that a job's record may fall into: it has to fit into one value of the store.
 RANGES = 40
-# Machines that are expected to be of use again, whether they are heard or not.
-# Sources that take preemption.
-BY_PREEMPTION = (CapacitySource.YIELDING, CapacitySource.OVER_GUARANTEE)
-UP_FLAGS = frozenset({MachineFlag.USABLE, MachineFlag.LOST, MachineFlag.UNHEARD})
 
 
 class Opening(NamedTuple):
@@ -50,14 +39,7 @@
 
 
 class Gangs(SchedulerComponent):
-    """Gangs, and other jobs that stay whole: planned over parts, kept room, started at once."""
-
-    def __init__(self, split: Split) -> None:
-        super().__init__(split)
-        self.counter = 0
-        self.keeping: tuple[str, float] | None = None  # the gang that waits for kept room
-        # Room promised to gangs that statuses can't show yet: (at, (part, zone), need, tasks).
-        self.booked: list[tuple[float, tuple[int, str], Need, int]] = []
+    """Jobs that stay whole, in a part: kept room, started at once, given back."""
 
     def start(self, work: PartWork, part: int) -> None:
         """Place the gangs of a part that find all their room now."""
@@ -264,165 +246,6 @@
             for m in self.workers.of_part(part)
         )
 
-    def plan(self, spec: wire.JobSpec, token: int, job: Job | None = None) -> Plan | None:
-        """Room for a whole gang: in one part if one has it, else over several.
-
-        Over several parts all start the same attempt; its number rests on a token of
-        this node, so nobody else ever uses it.
-        """
-        if self.split.teams.limit_left(spec) < spec.tasks:
-            return None
-        now = trio.current_time()
-        self.booked = [
-            row for row in self.booked if now - row[0] < self.policy.heartbeat_interval * 3
-        ]
-        under = self.split.teams.under(spec)
-        sources = [CapacitySource.FREE]
-        if spec.rank != wire.RANKS[-1]:
-            sources.append(CapacitySource.YIELDING)
-        if under and len(self.split.teams.known) > 1:
-            sources.append(CapacitySource.OVER_GUARANTEE)
-        if job is not None and self.split.order.late(job) and self._may_keep(job.id, now):
-            sources.append(CapacitySource.KEPT)
-        for source in sources:
-            rooms = self._free_capacity(spec, source)
-            found = plan_gang(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
-            if found is None:
-                continue
-            for key, count in found.items():
-                self.booked.append((now, key, need_of(spec), count))
-            parts = sorted({part for part, _ in found})
-            ranges, first = [], 0
-            for part in parts:
-                n = sum(count for (p, _), count in found.items() if p == part)
-                ranges.append(TaskRange(first, first + n, part))
-                first += n
-            attempt = 0
-            if len(parts) > 1:
-                self.counter += 1
-                attempt = (token << 24) + (1 << 23) + self.counter
-            if source is CapacitySource.KEPT:
-                self.keeping = (spec.id, now)
-            zones = {zone for _, zone in found}
-            log.info(
-                "gang planned job=%s parts=%d attempt=%d source=%s",
-                spec.id,
-                len(parts),
-                attempt,
-                source.name,
-            )
-            return Plan(
-                ranges,
-                zones.pop() if spec.one_zone else None,
-                attempt,
-                [(p, zone, n) for (p, zone), n in found.items()]
-                if spec.spread and len(parts) > 1
-                else [],
-            )
-        return None
-
-    def _may_keep(self, id: str, now: float) -> bool:
-        """Room is kept for one gang at a time: two could each hold half of the other's."""
-        if self.keeping is None or self.keeping[0] == id:
-            return True
-        job = self.job_store.open.get(self.keeping[0])
-        waits = job is not None and not any(
-            job.id in n.running for n in self.split.statuses.newest.values()
-        )
-        return not waits or now - self.keeping[1] > self.policy.start_within / 4
-
-    def _by_capacity(self, spec: wire.JobSpec) -> Plan | None:
-        """The part whose machines, were they empty, hold the gang best: it keeps room."""
-        plan = self.plan_whole(spec)
-        if plan is not None:
-            _, _, part = plan.ranges[0]
-            log.info("gang waits for room job=%s part=%d zone=%s", spec.id, part, plan.zone)
-        return plan
-
-    def _free_capacity(
-        self, spec: wire.JobSpec, source: CapacitySource
-    ) -> dict[tuple[int, str], int]:
-        """Tasks that each part could start in each zone, less what was booked just now."""
-        need = need_of(spec)
-        rooms: dict[tuple[int, str], int] = {}
-        for status in self.split.statuses.newest.values():
-            for zone, count in self._free_capacity_in(status, spec, source).items():
-                rooms[(status.part, zone)] = count
-        for _, key, (a, b, c), count in self.booked:
-            if key in rooms:
-                share = max((x / y for x, y in zip((a, b, c), need, strict=True) if y), default=0)
-                rooms[key] = max(0, rooms[key] - math.ceil(count * min(1.0, share)))
-        return rooms
-
-    def _free_capacity_in(
-        self, status: PartStatus, spec: wire.JobSpec, source: CapacitySource
-    ) -> dict[str, int]:
-        """Tasks that a part could start in each zone; worked out once a status and shape.
-
-        The leader plans every gang that waits, several times a second.
-        """
-        need = need_of(spec)
-        known = self.split.statuses.zones.setdefault(status.part, {})
-        key = (source, need, spec.types, spec.zone, spec.spot)
-        found = known.get(key)
-        if found is not None:
-            return found
-        found = known[key] = {}
-        for (type_, zone, spot), machines in self.split.statuses.groups_of(status).items():
-            kind = self.types().get(type_)
-            if kind is None or not group_ok(spec, kind, zone, spot):
-                continue
-            total = 0
-            for machine in machines:
-                if machine.flag:
-                    continue
-                a, b, c = machine.free
-                if source is CapacitySource.KEPT and machine.name not in status.kept:
-                    a, b, c = kind.cpus, kind.gpus, kind.memory
-                elif source in BY_PREEMPTION and machine.name not in status.kept:
-                    x, y, z = machine.yielding
-                    a, b, c = a + x, b + y, c + z
-                    if source is CapacitySource.OVER_GUARANTEE:
-                        x, y, z = machine.over
-                        a, b, c = a + x, b + y, c + z
-                if fits(need, (a, b, c)):
-                    total += times(need, (a, b, c))
-            if total:
-                found[zone] = found.get(zone, 0) + total
-        return found
-
-    async def assign(self, job: Job, token: int) -> None:
-        """A job whose tasks constrain one another: to one part, or reserved over several."""
-        spec = job.spec
-        plan: Plan | None = None
-        if spec.kind == wire.GANG:
-            plan = self.plan(spec, token, job)
-            if plan is None and spec.tasks == 1 and self.split.teams.limit_left(spec):
-                # It needs one machine, and that can be kept for it.
-                plan = self._by_capacity(spec)
-        else:
-            plan = self.plan_whole(spec)
-        if plan is not None:
-            await self.split.write_ranges(
-                job,
-                {"pt/parts/0": token},
-                plan.ranges,
-                zone=plan.zone,
-                attempt=plan.attempt,
-                caps=plan.caps,
-            )
-
-    def plan_whole(self, spec: wire.JobSpec) -> Plan | None:
-        """The part, and the zone if it needs one, for an array that stays whole."""
-        best = self.best_part(spec)
-        if best is None:
-            return None
-        ranges = [TaskRange(0, spec.tasks, best)]
-        zone = self.pick_zone(spec, ranges)
-        if zone is None and spec.one_zone and spec.tasks > 1:
-            return None
-        return Plan(ranges, zone)
-
     async def give_back(self) -> None:
         """Whole jobs that can't start here go back to the leader, for a fresh look."""
         for part, work in list(self.split.parts.work.items()):
@@ -500,7 +323,7 @@
                 job,
                 {f"pt/parts/{part}": token},
                 rest,
-                zone=job.record.zone if self._goes_on(job, rest) else None,
+                zone=job.record.zone if goes_on(job, rest) else None,
             )
         except StoreDown as error:
             await self.split.settle_job(error, job, version, part, token)
@@ -509,99 +332,3 @@
             if job.open:
                 self.split.parts.hold(job, part)
                 holding.rebuild()
-
-    @staticmethod
-    def _goes_on(job: Job, ranges: list[TaskRange]) -> bool:
-        """Whether a task in these ranges may be on a machine, or be started by its part."""
-        return any(not job.is_finished(t) for a, b, _ in ranges for t in range(a, b))
-
-    async def assign_rest(self, job: Job, token: int) -> None:
-        """What a part gave back of a whole job after other tasks of it were done.
-
-        One task of a gang done means that all are: the rest ends as soon as it starts
-        somewhere. Of an array bound to one zone, or spread, the rest goes where there is
-        room, in another zone too: nothing of the job is anywhere else by now.
-        """
-        if self._goes_on(job, job.record.ranges):
-            return
-        done = Bits(job.record.tasks)
-        for first, end, _ in job.record.ranges:
-            for task in range(first, end):
-                done.add(task)
-        left = merge((t, t + 1, 0) for t in range(job.record.tasks) if t not in done)
-        count = sum(r.tasks for r in left)
-        rest = msgspec.structs.replace(job.spec, tasks=count)
-        best = self.best_part(rest)
-        if best is None:
-            return
-        zone = self.pick_zone(rest, [TaskRange(0, count, best)], bound=job.spec.tasks > 1)
-        if zone is None and job.spec.one_zone:
-            return
-        log.info("rest of a job assigned job=%s tasks=%d part=%d", job.id, count, best)
-        await self.split.write_ranges(
-            job,
-            {"pt/parts/0": token},
-            merge([*job.record.ranges, *((a, b, best) for a, b, _ in left)]),
-            zone=zone,
-            attempt=0,
-            caps=[],
-        )
-
-    def pick_zone(
-        self, spec: wire.JobSpec, ranges: list[TaskRange], *, bound: bool | None = None
-    ) -> str | None:
-        """The zone for a one-zone job of several tasks, fixed before its first start."""
-        if not spec.one_zone or not (spec.tasks > 1 if bound is None else bound):
-            return None
-        if spec.zone is not None:
-            return spec.zone
-        parts = {p for _, _, p in ranges}
-        rooms: dict[str, tuple[float, float]] = {}
-        for status in self.split.statuses.newest.values():
-            if parts and status.part not in parts:
-                continue
-            for machine in status.machines:
-                kind = self.types().get(machine.type)
-                if kind is None or machine.flag not in UP_FLAGS | {MachineFlag.NEW}:
-                    continue
-                if not group_ok(spec, kind, machine.zone, machine.spot):
-                    continue
-                now, ever = rooms.get(machine.zone, (0.0, 0.0))
-                rooms[machine.zone] = (
-                    now + times(need_of(spec), machine.free),
-                    ever + times(need_of(spec), (kind.cpus, kind.gpus, kind.memory)),
-                )
-        wanted = spec.tasks if spec.kind == wire.GANG else 1
-        best = max(
-            rooms.items(),
-            default=None,
-            key=lambda r: (r[1][0] >= wanted, r[1][1] >= wanted, r[1][0], r[1][1]),
-        )
-        return best[0] if best is not None and best[1][1] >= wanted else None
-
-    def best_part(self, spec: wire.JobSpec) -> int | None:
-        """For a job that stays whole: the part with room now, else the likeliest."""
-        rows = []
-        for status in self.split.statuses.newest.values():
-            able = sum(
-                times(need_of(spec), (k.cpus, k.gpus, k.memory))
-                for m in status.machines
-                if m.flag in UP_FLAGS
-                and (k := self.types().get(m.type)) is not None
-                and group_ok(spec, k, m.zone, m.spot)
-            )
-            if able < (spec.tasks if spec.kind == wire.GANG else 1):
-                continue
-            queued = sum(
-                count * self.split.rebalancing.share_ratio(spec, id)
-                for id, count in status.waiting.items()
-            )
-            owed = sum(1 for at, _ in self.split.statuses.unreported.get(status.part, ()))
-            now = self.split.statuses.free_capacity(status, spec, yielding=False) - owed
-            soon = self.split.statuses.free_capacity(status, spec, yielding=True) - owed
-            rows.append((now < spec.tasks, soon < spec.tasks, queued / able, status.part))
-        if not rows:
-            return None
-        best = min(rows)[3]
-        self.split.statuses.record_allocation(best, spec, spec.tasks)
-        return best
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -34,6 +34,7 @@
     whole,
 )
 from .estimates import Estimates
+from .gang_planning import GangPlanning
 from .gangs import Gangs
 from .holdings import PartWork
 from .jobs import OPEN, Job, JobStore, TaskRange, encode, merge
@@ -89,6 +90,7 @@
         self.teams = Teams(self)
         self.parts = Parts(self)
         self.placing = Placing(self)
+        self.gang_planning = GangPlanning(self)
         self.gangs = Gangs(self)
         self.preemption = Preemption(self)
         self.rebalancing = Rebalancing(self)
@@ -121,13 +123,13 @@
             return NOBODY
         if spec.kind == wire.GANG:
             token = self.members.token(mine[0])
-            return (token is not None and self.gangs.plan(spec, token)) or NOBODY
+            return (token is not None and self.gang_planning.plan(spec, token)) or NOBODY
         if whole(spec):
-            best = self.gangs.best_part(spec)
+            best = self.gang_planning.best_part(spec)
             if best not in mine:
                 return NOBODY
             ranges = [TaskRange(0, spec.tasks, best)]
-            return Plan(ranges, self.gangs.pick_zone(spec, ranges))
+            return Plan(ranges, self.gang_planning.pick_zone(spec, ranges))
         return Plan(self._keep(spec, mine))
 
     def _keep(self, spec: wire.JobSpec, mine: list[int]) -> list[TaskRange]:
@@ -148,7 +150,7 @@
     def divide(self, spec: wire.JobSpec) -> list[TaskRange]:
         """The leader's split: in proportion to availability at the least covering stretch."""
         if whole(spec):
-            best = self.gangs.best_part(spec)
+            best = self.gang_planning.best_part(spec)
             return [TaskRange(0, spec.tasks, best)] if best is not None else []
         statuses = [n for n in self.statuses.newest.values() if n.matrix]
         if not statuses:
@@ -176,7 +178,7 @@
         if self.members.leading is None or spec.kind == wire.GANG:
             return NOBODY
         if whole(spec):
-            return self.gangs.plan_whole(spec) or NOBODY
+            return self.gang_planning.plan_whole(spec) or NOBODY
         return Plan(self.divide(spec))
 
     async def _assign(self) -> None:
@@ -203,9 +205,9 @@
                 continue
             if whole(job.spec):
                 if not have:
-                    await self.gangs.assign(job, token)
+                    await self.gang_planning.assign(job, token)
                 elif job.finished.count:
-                    await self.gangs.assign_rest(job, token)
+                    await self.gang_planning.assign_rest(job, token)
                 continue
             rest = (
                 job.spec
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -487,7 +487,7 @@
         grounds = Grounds(
             placement.job.version,
             token=hold.token if hold is not None else None,
-            detail=f"machine={placement.machine.name}",
+            machine=placement.machine.name,
         )
         self.decided(decision, placement.key, grounds)
 
