--- a/pitchtally/__init__.py
+++ b/pitchtally/__init__.py
@@ -1,3 +1,3 @@
 """pitchtally: a fair, decentralised cluster scheduler."""
 
-VERSION = "0.5.0"
+VERSION = "0.5.1"
