Stored layouts independent of the reader's limits, behind a format gate; state.next kept

Jobs' finished sets, long specs, machine chunks, team shares and machine types are laid out so that a reader needs no settings of the writer's, within the smaller of today's and the announced limits.

--- a/pitchtally/control/api.py
+++ b/pitchtally/control/api.py
@@ -14,17 +14,19 @@
 import trio
 
 from .. import tokens, wire
+from ..formats.job_layout import JobLayout
 from ..http import Request, Response
 from ..policy import Policy
 from ..replica import Replica
 from ..settings import Settings
 from ..store import Conflict, NoLease, Store, StoreDown, Write
-from . import jobs
+from . import job_records
 from .acceptance import Acceptances, Pending
 from .capacity import Plan
 from .confirmations import Confirmations, Confirmed
 from .decisions import Decided, Decision, Grounds, ignore_decision
-from .jobs import Job, JobStore, Record
+from .job_records import Record
+from .jobs import Job, JobStore
 from .members import Members
 from .messages import Cancellation
 from .split import Split
@@ -38,6 +40,8 @@
 
 # The share of a burst of write tokens that is left to those who are expected back.
 SPARE = 0.75
+# Seconds after which a job is offered again that only the present stored format can hold.
+LARGE_JOB_RETRY_S = 3
 # Times that a cancellation is tried anew because an owner's progress was written first.
 CANCEL_ATTEMPTS = 4
 
@@ -55,8 +59,10 @@
         job_store: JobStore,
         workers: Workers,
         split: Split,
+        layout: JobLayout,
         types: Callable[[], dict[str, wire.MachineType]],
     ):
+        self.layout = layout
         self.settings = settings
         self.policy = policy
         self.members = members
@@ -137,12 +143,12 @@
     def view(self, job: Job) -> Response:
         """A job as its user sees it."""
         record = job.record
-        if record.stage == jobs.DONE:
-            view = wire.JobView(job.id, jobs.DONE, record.tasks, 0)
-        elif record.stage == jobs.CANCELLED:
+        if record.stage == job_records.DONE:
+            view = wire.JobView(job.id, job_records.DONE, record.tasks, 0)
+        elif record.stage == job_records.CANCELLED:
             view = wire.JobView(job.id, wire.WITHDRAWN, record.count, 0)
         else:
-            done = job.finished.count + len(job.local)
+            done = 0 if job.service else job.finished.count + len(job.local)
             running = self.split.statuses.running(job.id)
             state = wire.RUNNING if running else wire.PENDING
             # A job whose last tasks are not durable yet is still running.
@@ -252,7 +258,7 @@
             if token is not None:
                 conditions[f"pt/parts/{part}"] = token
         record = Record(
-            jobs.OPEN,
+            job_records.OPEN,
             spec.tasks,
             spec,
             round(time.time(), 3),
@@ -261,9 +267,14 @@
             attempt=plan.attempt,
             caps=plan.caps,
         )
-        change = Write(key, encode(record))
-        if len(change.value or b"") > self.store.limits.value_kb * 1024:
-            return _error(400, "body", "too large to keep")
+        first, record = self.layout.lay_out_new(spec.id, record)
+        value = encode(record)
+        if not self.layout.record_fits(value):
+            # The old form can't hold it; the present one can, once every node reads it.
+            return _busy("too large to keep before the upgrade is over", LARGE_JOB_RETRY_S)
+        if not await self._write_first(first):
+            return _busy("the state service doesn't answer", 1)
+        change = Write(key, value)
         pending = Pending(key, change, conditions)
         at = trio.current_time()
         await self.acceptances.commit(pending)
@@ -285,6 +296,22 @@
             return _busy("the state service doesn't answer", 1)
         return Response(201, encode(wire.JobView(spec.id, wire.PENDING)))
 
+    async def _write_first(self, changes: list[Write]) -> bool:
+        """Write what a new job's record refers to; False if that can't be done now.
+
+        The keys are found by their content: written again, or late, they say the same.
+        """
+        most = self.store.limits.txn_ops
+        for start in range(0, len(changes), most):
+            group = changes[start : start + most]
+            try:
+                revision = await self.store.commit({}, group, priority=tokens.ACCEPTANCES)
+            except (Conflict, NoLease, StoreDown) as error:
+                log.info("not accepted cause=%s", error)
+                return False
+            self.replica.own(group, revision)
+        return True
+
     async def _plan(self, spec: wire.JobSpec) -> Plan:
         """Where the job goes: our own parts, else where the leader says."""
         plan = self.split.decide(spec)
@@ -329,7 +356,7 @@
 
     async def _commit_cancellation(self, job: Job) -> None:
         """Write that a job is cancelled, and tell the owners; raises what `Store.commit` does."""
-        final = Record(jobs.CANCELLED, job.record.tasks, count=job.finished.count)
+        final = Record(job_records.CANCELLED, job.record.tasks, count=job.finished.count)
         change = Write(f"pt/jobs/{job.id}", encode(final))
         revision = await self.store.commit(
             {change.key: job.version}, [change], priority=tokens.COMPLETIONS
--- a/pitchtally/control/capacity.py
+++ b/pitchtally/control/capacity.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from .. import wire
-from .jobs import Job, TaskRange
+from .job_records import TaskRange
+from .jobs import Job
 from .machines import Need, Placement, need_of
 
 RANK = {rank: i for i, rank in enumerate(wire.RANKS)}
--- a/pitchtally/control/fleet.py
+++ b/pitchtally/control/fleet.py
@@ -14,15 +14,16 @@
 import msgspec
 import trio
 
-from .. import tokens, wire
+from .. import wire
 from ..policy import Policy
 from ..replica import Replica
 from ..settings import Settings
-from ..store import Conflict, NoLease, Store, StoreDown, Write
+from ..store import Store
 from .capacity import group_ok, times
 from .cloud import Cloud, CloudDown, NoCapacity
 from .hiring import Booting, Group, Hiring
 from .jobs import JobStore
+from .machine_types import MachineTypes
 from .machines import need_of
 from .members import Members, part_of
 from .messages import Heartbeat, MachineFlag, MachineStatus
@@ -71,7 +72,6 @@
         self.store = store
         self.replica = replica
         self.cloud = Cloud(settings, policy)
-        self.types: dict[str, wire.MachineType] = {}
         self.listed: dict[str, wire.Listed] = {}
         self.absent_since: dict[str, float] = {}
         self.booting: dict[str, Booting] = {}
@@ -87,62 +87,14 @@
         self.drain: dict[str, float] = {}
         self.gone: dict[str, float] = {}  # released, to be told to the owners
         self.troubles = ""
-        replica.listen("types", self._on_types)
-
-    # --- machine types ---------------------------------------------------------
-
-    def _on_types(self, key: str, value: bytes | None, version: int) -> None:
-        if value is not None:
-            found = msgspec.json.decode(value, type=list[wire.MachineType])
-            self.types = {t.name: t for t in found}
-            for machine in self.workers.machines.values():
-                machine.kind = self.types.get(machine.type)
-
-    async def run_types(self) -> None:
-        """Keep the types in the store, so that nodes know them in a cloud outage too."""
-        while True:
-            if self.types and self.members.leading is None:
-                await trio.sleep(self.policy.list_every)
-                continue
-            try:
-                body = await self.cloud.call("GET", "/flavors")
-                found = msgspec.json.decode(body, type=wire.MachineTypes).types
-                if found and self._changed(found):
-                    await self._store_types(found)
-                    self.types = {t.name: t for t in found}
-                    for machine in self.workers.machines.values():
-                        machine.kind = self.types.get(machine.type)
-            except (CloudDown, NoCapacity, msgspec.MsgspecError, StoreDown) as error:
-                self._trouble(str(error))
-            await trio.sleep(self.policy.list_every * (6 if self.types else 0.5))
-
-    def _changed(self, found: list[wire.MachineType]) -> bool:
-        """Prices drift all the time; only shapes and coarse price moves are worth a write."""
-        if {t.name for t in found} != set(self.types):
-            return True
-        for new in found:
-            old = self.types[new.name]
-            if (new.cpus, new.gpus, new.memory, new.zones) != (
-                old.cpus,
-                old.gpus,
-                old.memory,
-                old.zones,
-            ):
-                return True
-            if abs((new.spot_price or 0) - (old.spot_price or 0)) > 0.1 * (old.spot_price or 1):
-                return True
-        return False
-
-    async def _store_types(self, found: list[wire.MachineType]) -> None:
-        change = Write("pt/types", encode(found))
-        version = self.replica.version("pt/types")
-        try:
-            revision = await self.store.commit(
-                {"pt/types": version}, [change], priority=tokens.ACCEPTANCES
-            )
-            self.replica.own([change], revision)
-        except (Conflict, NoLease):
-            pass  # another node was first
+        self.machine_types = MachineTypes(
+            policy, members, workers, store, replica, self.cloud, job_store.gate, self._trouble
+        )
+
+    @property
+    def types(self) -> dict[str, wire.MachineType]:
+        """The machine types that the cloud offers, by name."""
+        return self.machine_types.known
 
     def _trouble(self, reason: str) -> None:
         if reason != self.troubles:
--- a/pitchtally/control/gang_planning.py
+++ b/pitchtally/control/gang_planning.py
@@ -11,6 +11,7 @@
 import trio
 
 from .. import wire
+from .bits import Bits
 from .capacity import (
     CapacitySource,
     Plan,
@@ -20,7 +21,8 @@
     times,
 )
 from .component import SchedulerComponent
-from .jobs import Bits, Job, TaskRange, merge
+from .job_records import TaskRange, merge
+from .jobs import Job
 from .machines import Need, need_of
 from .messages import MachineFlag, PartStatus
 
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -17,7 +17,8 @@
 from .component import SchedulerComponent
 from .gang_planning import goes_on
 from .holdings import Holding, PartWork
-from .jobs import Job, TaskRange, merge
+from .job_records import TaskRange, merge
+from .jobs import Job
 from .machines import Machine, Need, need_of
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/pitchtally/control/job_records.py
@@ -0,0 +1,65 @@
+"""The record of a job, as the state service keeps it at `jobs/<id>`."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgspec
+from msgspec import Struct
+
+from .. import wire
+from ..formats.pieces import TextRef
+
+OPEN = "open"
+DONE = "done"
+CANCELLED = "withdrawn"
+
+
+class TaskRange(NamedTuple):
+    """Tasks of a job that a part has; stored as an array of three."""
+
+    first: int
+    end: int  # not included
+    part: int
+
+    @property
+    def tasks(self) -> int:
+        """How many tasks these are."""
+        return self.end - self.first
+
+
+class Record(Struct, omit_defaults=True):
+    """A job as the state service keeps it."""
+
+    stage: str
+    tasks: int
+    spec: wire.JobSpec | None = None  # dropped once the job is over
+    at: float = 0.0  # time of day of acceptance
+    ranges: list[TaskRange] = msgspec.field(default_factory=list)
+    finished: str = ""
+    zone: str | None = None  # for one-zone jobs, fixed before the first start
+    attempt: int = 0  # for gangs over several parts: the attempt all of them start
+    caps: list[tuple[int, str, int]] = msgspec.field(default_factory=list)  # see `split`
+    count: int = 0  # tasks done when a job was cancelled
+    # Since format 2; an earlier version would drop both when it rewrites the record.
+    chunk_tasks: int = 0  # finished tasks are in keys of that many, see `formats.finished`
+    spec_text: TextRef | None = None  # where the spec is, if it is too long for the record
+
+
+decode_record = msgspec.json.Decoder(Record).decode
+decode_spec = msgspec.json.Decoder(wire.JobSpec).decode
+encode = msgspec.json.encode
+
+
+def merge(ranges: Iterable[tuple[int, int, int]]) -> list[TaskRange]:
+    """Sorted ranges with neighbours of the same part joined."""
+    out: list[TaskRange] = []
+    for first, end, part in sorted(ranges):
+        if first >= end:
+            continue
+        if out and out[-1].part == part and out[-1].end == first:
+            out[-1] = TaskRange(out[-1].first, end, part)
+        else:
+            out.append(TaskRange(first, end, part))
+    return out
--- a/pitchtally/control/members.py
+++ b/pitchtally/control/members.py
@@ -17,6 +17,7 @@
 from msgspec import Struct
 
 from .. import tokens, wire
+from ..formats.gate import FIRST_FORMAT, FORMAT
 from ..http import Client, HttpError, Request, Response
 from ..policy import Policy
 from ..replica import Replica
@@ -74,6 +75,7 @@
     incarnation: str
     # Reaches the store but not its machines. Stored under the name of earlier versions.
     workers_unreachable: bool = msgspec.field(default=False, name="deaf")
+    reads: int = FIRST_FORMAT  # the newest stored format that it can read
 
 
 class Members:
@@ -259,7 +261,7 @@
                     await trio.sleep(ttl / 20)
                     continue
                 node = self.alive.get(self.me)
-                if node is None or node != Node(self.incarnation, self.workers_unreachable):
+                if node is None or node != self._own_node():
                     await self._write_node(self.lease)
             except NoLease:
                 self.lease = None
@@ -274,10 +276,20 @@
                 continue
             await trio.sleep(ttl / 3)
 
+    def _own_node(self) -> Node:
+        return Node(self.incarnation, self.workers_unreachable, FORMAT)
+
+    def answering(self) -> dict[str, str]:
+        """The incarnation of each node, ours included, that has answered within a session."""
+        limit = trio.current_time() - self.policy.session_ttl
+        found = {name: p.incarnation for name, p in self.peers.items() if p.heard_at >= limit}
+        found[self.me] = self.incarnation
+        return found
+
     async def _write_node(self, lease: int) -> None:
         """Our record, conditional on the one before: a late write of ours changes nothing."""
         key = f"pt/nodes/{self.me}"
-        value = msgspec.json.encode(Node(self.incarnation, self.workers_unreachable))
+        value = msgspec.json.encode(self._own_node())
         changes = [Write(key, value, lease)]
         revision = await self.store.commit(
             {key: self.replica.version(key)}, changes, priority=tokens.LEASES
--- a/pitchtally/control/messages.py
+++ b/pitchtally/control/messages.py
@@ -15,7 +15,7 @@
 from msgspec import Struct
 
 from .. import wire
-from .jobs import TaskRange
+from .job_records import TaskRange
 
 # The number of a call by a version that numbers nothing.
 UNNUMBERED = 0
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -17,7 +17,8 @@
 from .component import SchedulerComponent
 from .failure_attribution import Standing, is_unhealthy, standing
 from .holdings import Holding, PartWork
-from .jobs import DONE, Job, Record
+from .job_records import DONE, Record
+from .jobs import Job
 from .machines import Group, Machine, Placement
 
 if TYPE_CHECKING:
--- a/pitchtally/control/rebalancing.py
+++ b/pitchtally/control/rebalancing.py
@@ -18,7 +18,7 @@
 from .component import SchedulerComponent
 from .gangs import RANGES
 from .holdings import Holding
-from .jobs import merge
+from .job_records import merge
 from .messages import MachineFlag, PartStatus
 
 if TYPE_CHECKING:
--- a/pitchtally/control/records.py
+++ b/pitchtally/control/records.py
@@ -14,7 +14,8 @@
 import trio
 
 from .. import tokens
-from ..store import StoreDown, Write
+from ..formats import fleet_layout, legacy
+from ..store import Refused, StoreDown, Write
 from .machines import PartHold
 
 if TYPE_CHECKING:
@@ -39,11 +40,12 @@
 
     def __init__(self, workers: Workers) -> None:
         self.workers = workers
+        self.gate = workers.job_store.gate
         self.chunks: dict[tuple[int, int], dict[str, MachineRow]] = {}
         self.wake = trio.Event()
-        state = workers.settings.deployment.state
-        # Machines that one chunk may name; about 100 bytes each.
-        self.span = max(1, int(state.value_kb * 1024 / 2 / 100))
+        limits = workers.settings.deployment.state_to_keep
+        self.span = fleet_layout.machines_per_chunk(int(limits.value_kb * 1024))
+        self._refused = False  # the store takes chunks of the old layout no more
         workers.replica.listen("fleet/", self._on_record)
 
     def _on_record(self, key: str, value: bytes | None, version: int) -> None:
@@ -55,10 +57,13 @@
             self.chunks[where] = msgspec.json.decode(value, type=dict[str, MachineRow])
 
     def chunk_of(self, machine: str) -> int:
-        """The number of the chunk that names a machine."""
+        """The number of the chunk that names a machine in the layout to write."""
         digits = machine.rpartition("-")[2]
         number = int(digits) if digits.isdigit() and len(digits) < 19 else 0
-        return number // self.workers.count // self.span
+        place = number // self.workers.count
+        if self.gate.open or self._refused:
+            return fleet_layout.chunk_of(place, self.span)
+        return place // legacy.machines_per_chunk(self.gate.value_kb)
 
     def of(self, part: int) -> dict[str, MachineRow]:
         """Every recorded machine of a part."""
@@ -83,22 +88,28 @@
                     await trio.sleep(0.2)
 
     async def _write(self, hold: PartHold) -> None:
-        """Bring a part's record up to its machines, chunk by chunk."""
+        """Bring a part's record up to its machines, chunk by chunk.
+
+        A machine is named in its new chunk before it leaves one of another layout, so it is
+        named somewhere at any moment, whenever this node ends.
+        """
         if not hold.loaded:
             return
         names: dict[int, list[str]] = {}
         for machine in self.workers.of_part(hold.part):
             if machine.confirmed or machine.recorded:
                 names.setdefault(self.chunk_of(machine.name), []).append(machine.name)
-        chunks = {chunk for part, chunk in self.chunks if part == hold.part} | set(names)
-        for chunk in sorted(chunks):
+        others = {chunk for part, chunk in self.chunks if part == hold.part} - set(names)
+        for chunk in [*sorted(names), *sorted(others)]:
             # At thousands of machines a pass has dozens of chunks, and waits for tokens
             # and answers between them. So the part is looked at anew before each.
             if self.workers.parts.get(hold.part) is not hold:
                 return
-            await self._write_chunk(hold, chunk, names.get(chunk, []))
+            if not await self._write_chunk(hold, chunk, names.get(chunk, [])):
+                return
 
-    async def _write_chunk(self, hold: PartHold, chunk: int, names: list[str]) -> None:
+    async def _write_chunk(self, hold: PartHold, chunk: int, names: list[str]) -> bool:
+        """Write a chunk as it should be; False if it doesn't stand so afterwards."""
         # A machine that went since the pass began is left out: its row would outlive it.
         rows = {
             name: MachineRow(machine.type, machine.zone, machine.spot, machine.address)
@@ -107,18 +118,27 @@
         }
         if rows == self.chunks.get((hold.part, chunk), {}):
             self._mark_recorded(rows)
-            return
+            return True
         key = f"pt/fleet/{hold.part}/{chunk}"
         conditions = {
             f"pt/parts/{hold.part}": hold.token,
             key: self.workers.replica.version(key),
         }
         # A name leaves the record only once its machine is known to be gone.
-        done = await self.workers.job_store.commit(
-            conditions, [Write(key, encode(rows))], priority=tokens.COMPLETIONS
-        )
+        value = encode(rows) if rows or not self.gate.open else None
+        try:
+            done = await self.workers.job_store.commit(
+                conditions, [Write(key, value)], priority=tokens.COMPLETIONS
+            )
+        except Refused as error:
+            # Lower limits came before the gate opened. Earlier versions read any chunk, and
+            # move what it names to theirs before they empty it.
+            log.info("fleet record refused part=%d chunk=%d cause=%s", hold.part, chunk, error)
+            self._refused = True
+            return False
         if done and self.workers.parts.get(hold.part) is hold:
             self._mark_recorded(rows)
+        return done
 
     def _mark_recorded(self, names: Iterable[str]) -> None:
         """Tasks may start on these machines, as far as they are still there."""
--- a/pitchtally/control/service.py
+++ b/pitchtally/control/service.py
@@ -7,6 +7,9 @@
 import trio
 
 from .. import wire
+from ..formats.gate import FormatGate
+from ..formats.job_layout import JobLayout
+from ..formats.migration import Cleanup, JobMigration
 from ..http import Request, Response, Server
 from ..policy import Policy
 from ..replica import Replica
@@ -16,10 +19,12 @@
 from .api import Api
 from .decisions import DecisionLog, Evidence
 from .fleet import Fleet
+from .format_upgrade import FormatUpgrade
 from .jobs import JobStore
 from .loops import Loop, Loops
 from .members import LEADER_PART, Members
 from .messages import Cancellation, Heartbeat, SplitAnswer
+from .progress import ProgressWriter
 from .split import Split
 from .workers import Workers
 
@@ -39,12 +44,18 @@
         self.policy = policy
         limits = settings.deployment
         self.store = Store(
-            settings.endpoints.state, limits.state, len(settings.nodes), policy.call_timeout
+            settings.endpoints.state, limits.state_to_keep, len(settings.nodes), policy.call_timeout
         )
-        watch_rate = limits.state.rps * policy.watch_share / len(settings.nodes)
+        watch_rate = limits.state_to_keep.rps * policy.watch_share / len(settings.nodes)
         self.replica = Replica(self.store, 1 / watch_rate, policy.session_ttl / 2)
         self.members = Members(settings, policy, self.store, self.replica)
-        self.job_store = JobStore(self.store, self.replica, self.members.token, policy.period)
+        self.gate = FormatGate(self.replica, limits.state.value_kb)
+        self.format_upgrade = FormatUpgrade(self.members, self.store, self.gate)
+        self.job_store = JobStore(self.store, self.replica, self.gate, self.members.token)
+        self.layout = JobLayout(self.gate, limits.state_to_keep)
+        self.migration = JobMigration(self.job_store, self.layout, policy.heartbeat_interval)
+        self.cleanup = Cleanup(self.job_store, self._leader_guard, policy.period)
+        self.progress = ProgressWriter(self.job_store, self.layout, self.migration, policy.period)
         self.workers = Workers(
             settings, policy, self.members, self.job_store, self.replica, lambda: self.fleet.types
         )
@@ -55,6 +66,7 @@
             self.job_store,
             self.workers,
             self.replica,
+            self.migration,
             lambda: self.fleet.types,
         )
         self.fleet = Fleet(
@@ -76,9 +88,10 @@
             self.job_store,
             self.workers,
             self.split,
+            self.layout,
             lambda: self.fleet.types,
         )
-        self.job_store.submissions_wait = lambda: self.api.line.waiting
+        self.progress.submissions_wait = lambda: self.api.line.waiting
         self.loops = Loops()
         self.decisions = DecisionLog(
             self._evidence, self._counters, lambda: self.api.confirmations.last
@@ -111,7 +124,12 @@
         workers.fill = split.placing.fill
         self.api.decided = self.decisions.decided
         workers.decided = self.decisions.decided
-        self.job_store.decided = self.decisions.decided
+        self.progress.decided = self.decisions.decided
+
+    def _leader_guard(self) -> tuple[str, int] | None:
+        """What a leader's write rests on, None if this node doesn't lead."""
+        token = self.members.leading
+        return None if token is None else (f"pt/parts/{LEADER_PART}", token)
 
     def _evidence(self) -> Evidence:
         owned = self.members.owners.get(LEADER_PART)
@@ -195,7 +213,10 @@
             ("replica", self.replica.run),
             ("lease", self.members.run_lease),
             ("ownership", self.members.run_ownership),
-            ("jobs", self.job_store.run),
+            ("progress", self.progress.run),
+            ("format", self.format_upgrade.run),
+            ("migration", self.migration.run),
+            ("cleanup", self.cleanup.run),
             ("expiry", self.workers.run_expiry),
             ("direct_commands", self.workers.direct_commands.run),
             ("reachability", self.workers.direct_commands.run_reachability),
@@ -203,7 +224,7 @@
             ("planning", self.split.run),
             ("splitting", self.split.run_splitting),
             ("fleet", self.fleet.run),
-            ("types", self.fleet.run_types),
+            ("types", self.fleet.machine_types.run),
             ("silences", self.fleet.run_silences),
             ("confirmations", self.api.confirmations.run),
             ("drain", self._own_drain),
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -19,10 +19,11 @@
 import trio
 
 from .. import tokens, wire
+from ..formats.migration import JobMigration
 from ..policy import Policy
 from ..replica import Replica
 from ..settings import Settings
-from ..store import StoreDown, Write
+from ..store import Refused, StoreDown, Write
 from . import stretch
 from .capacity import (
     NOBODY,
@@ -37,7 +38,8 @@
 from .gang_planning import GangPlanning
 from .gangs import Gangs
 from .holdings import PartWork
-from .jobs import OPEN, Job, JobStore, TaskRange, encode, merge
+from .job_records import Record, TaskRange, merge
+from .jobs import Job, JobStore
 from .machines import need_of
 from .members import Members
 from .messages import PartStatus
@@ -57,6 +59,18 @@
 _REST = 9.0
 
 
+def _same_plan(job: Job, before: Record) -> bool:
+    """Whether a job's record says the same as before of who gets which tasks."""
+    now = job.record
+    return (now.stage, now.ranges, now.zone, now.attempt, now.caps) == (
+        before.stage,
+        before.ranges,
+        before.zone,
+        before.attempt,
+        before.caps,
+    )
+
+
 class Split:
     """The scheduler: its slices, what is kept and what is split, and the loops."""
 
@@ -68,8 +82,11 @@
         job_store: JobStore,
         workers: Workers,
         replica: Replica,
+        migration: JobMigration,
         types: Callable[[], dict[str, wire.MachineType]],
     ):
+        self.migration = migration
+        self.layout = migration.layout
         self.settings = settings
         self.policy = policy
         self.members = members
@@ -237,18 +254,32 @@
                 guard[f"pt/parts/{part}"] = token
         # Moves are for the better, assignments for going at all.
         priority = tokens.PROGRESS if covered(job) and not more else tokens.ACCEPTANCES
-        record = msgspec.structs.replace(job.record, ranges=ranges, **more)
-        if not job.chunked:
-            record.finished = job.finished.text()
-        return await self.job_store.commit(
-            {key: job.version, **guard}, [Write(key, encode(record))], priority=priority
-        )
+        value = self._record_with(job, ranges=ranges, **more)
+        if self.layout.needs_conversion(job) or not self.layout.record_fits(value):
+            before = job.record
+            if not await self.migration.convert(job, priority) or not _same_plan(job, before):
+                return False  # what was decided on may have changed meanwhile
+            value = self._record_with(job, ranges=ranges, **more)
+        if not self.layout.record_fits(value):
+            return False  # too many pieces for a record: the tasks stay where they are
+        try:
+            return await self.job_store.commit(
+                {key: job.version, **guard}, [Write(key, value)], priority=priority
+            )
+        except Refused as error:
+            log.info("ranges refused job=%s cause=%s", job.id, error)
+            return False
+
+    def _record_with(self, job: Job, **changes: Any) -> bytes:
+        """A job's record as it is now, but for these fields, encoded."""
+        record: Record = msgspec.structs.replace(job.current_record(), **changes)
+        return self.layout.encode_record(job, record)
 
     async def settle(
         self,
         error: StoreDown,
         key: str,
-        version: int,
+        versions: dict[str, int],
         part: int,
         token: int,
         value: Callable[[], bytes],
@@ -259,13 +290,16 @@
         answer was given up, and what was kept back meanwhile would have gone on by then.
         So the key is written as it stands. Whichever of the two comes first, the other's
         condition fails; a part that was lost meanwhile is its new owner's affair.
+        `versions`: those of the key, and of others, that the transaction rested on.
         """
         if not error.unknown:
             return
-        while self.replica.version(key) == version and self.members.token(part) == token:
+        while self.members.token(part) == token and all(
+            self.replica.version(name) == version for name, version in versions.items()
+        ):
             try:
                 await self.job_store.commit(
-                    {key: version, f"pt/parts/{part}": token},
+                    {**versions, f"pt/parts/{part}": token},
                     [Write(key, value())],
                     priority=tokens.ACCEPTANCES,
                 )
@@ -277,14 +311,8 @@
         self, error: StoreDown, job: Job, version: int, part: int, token: int
     ) -> None:
         """`settle` for a job's record."""
-
-        def value() -> bytes:
-            record = job.record
-            if record.stage == OPEN and not job.chunked:
-                record = msgspec.structs.replace(record, finished=job.finished.text())
-            return encode(record)
-
-        await self.settle(error, f"pt/jobs/{job.id}", version, part, token, value)
+        key = f"pt/jobs/{job.id}"
+        await self.settle(error, key, {key: version}, part, token, lambda: self._record_with(job))
 
     async def run(self) -> None:
         """Allot, preempt, refresh statuses; what is due is worked out anew each time."""
--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -6,12 +6,12 @@
 import math
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
 from .. import tokens, wire
+from ..formats.team_shares import TeamShares
 from ..settings import Team
-from ..store import StoreDown, Write
+from ..store import StoreDown
 from .capacity import (
     RANK,
     fits,
@@ -19,7 +19,6 @@
 )
 from .component import SchedulerComponent
 from .holdings import PartWork
-from .jobs import encode
 from .messages import PartStatus
 
 if TYPE_CHECKING:
@@ -34,19 +33,18 @@
     def __init__(self, split: Split) -> None:
         super().__init__(split)
         self.known: dict[str, Team] = {t.name: t for t in self.settings.deployment.teams}
-        self.shares: dict[str, list[tuple[float, float]]] = {}
+        self.shares = TeamShares(split.replica, split.job_store.gate)
         self.giving: dict[tuple[int, str], tuple[float, float]] = {}
         self.waiting_for_limit: dict[
             str, tuple[float, int, str]
         ] = {}  # team -> gang short of share
-        split.replica.listen("shares", self._on_shares)
 
     def share(self, part: int, team: str) -> tuple[float, float]:
         """This part's durable share of a team's limits; infinite without a limit."""
         settings = self.known.get(team)
         if settings is None:
             return (0.0, 0.0)
-        rows = self.shares.get(team)
+        rows = self.shares.of(team)
         if rows is not None:
             cpus, gpus = rows[part]
         else:
@@ -217,13 +215,6 @@
         cpus, gpus = self.use_anywhere(name)
         return cpus > team.cpus + 1e-6 or (gpus > team.gpus + 1e-6 and team.gpus > 0)
 
-    def _on_shares(self, key: str, value: bytes | None, version: int) -> None:
-        self.shares = (
-            {}
-            if value is None
-            else msgspec.json.decode(value, type=dict[str, list[tuple[float, float]]])
-        )
-
     async def move_shares(self) -> None:
         """Give a part with too small a share what this part neither uses nor waits for.
 
@@ -313,23 +304,26 @@
         self, part: int, token: int, to: int, team: Team, give: tuple[float, float]
     ) -> None:
         rows = (
-            self.shares.get(team.name)
+            self.shares.of(team.name)
             or [(team.cpus_max / self.count, team.gpus_max / self.count)] * self.count
         )
         moved = list(rows)
         moved[part] = (rows[part][0] - give[0], rows[part][1] - give[1])
         moved[to] = (rows[to][0] + give[0], rows[to][1] + give[1])
-        value = encode({**self.shares, team.name: moved})
-        version = self.split.replica.version("pt/shares")
-        conditions = {f"pt/parts/{part}": token, "pt/shares": version}
+        change = self.shares.change(team.name, moved)
+        versions = self.shares.versions(team.name)
+        conditions = {f"pt/parts/{part}": token, **versions}
         self.giving[(part, team.name)] = give
         try:
-            await self.job_store.commit(
-                conditions, [Write("pt/shares", value)], priority=tokens.ACCEPTANCES
-            )
+            await self.job_store.commit(conditions, [change], priority=tokens.ACCEPTANCES)
         except StoreDown as error:
             await self.split.settle(
-                error, "pt/shares", version, part, token, lambda: encode(self.shares)
+                error,
+                change.key,
+                versions,
+                part,
+                token,
+                lambda: self.shares.unchanged(change.key, team.name, rows),
             )
         finally:
             self.giving.pop((part, team.name), None)
--- /dev/null
+++ b/pitchtally/formats/fleet_layout.py
@@ -0,0 +1,23 @@
+"""Which chunk of a part's machine record names a machine: `pt/fleet/<part>/<chunk>`.
+
+A chunk's number tells under which width it was written, so chunks of different widths never
+share a key: a reader joins all that there are, a writer moves names over to its own.
+"""
+
+from __future__ import annotations
+
+# Larger than any chunk number of 0.5.1, which counted up from 0.
+_WIDTH_FACTOR = 10**9
+# A machine's name, type, zone, kind and address as JSON, where names are long.
+_MACHINE_BYTES = 100
+_VALUE_SHARE = 3 / 4
+
+
+def machines_per_chunk(value_bytes: int) -> int:
+    """Consecutive machines of a part that one value names."""
+    return max(1, int(value_bytes * _VALUE_SHARE / _MACHINE_BYTES))
+
+
+def chunk_of(place: int, width: int) -> int:
+    """The chunk of the machine that is the `place`-th of its part."""
+    return width * _WIDTH_FACTOR + place // width
--- /dev/null
+++ b/pitchtally/formats/gate.py
@@ -0,0 +1,99 @@
+"""The feature gate of stored formats: one durable record that is written once.
+
+Each controller tells in its own record, which hangs on its lease, the newest format that it
+reads (`members.Node.reads`). Once every configured member has told that it reads the
+present one, the leader writes `pt/format`. The write is conditional on those records, so it
+fails if one of the members was replaced meanwhile. It is never taken back: from then on
+versions that read the old format only can't be run any more.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+import msgspec
+from msgspec import Struct
+
+from ..replica import Replica
+from . import legacy
+
+log = logging.getLogger("format")
+
+# The format of 0.5.1, which tells nothing.
+FIRST_FORMAT = 1
+# Finished tasks by task number, long specs in pieces, shares by team: since 0.6.0.
+FORMAT = 2
+
+KEY = "pt/format"
+
+
+class FormatRecord(Struct, frozen=True):
+    """The durable record: the format that may be written, and what old layouts rest on."""
+
+    format: int
+    legacy_chunk_tasks: int
+
+
+class Reader(Protocol):
+    """A member as its record in the state service shows it."""
+
+    @property
+    def incarnation(self) -> str:
+        """Which process of the member it is."""
+
+    @property
+    def reads(self) -> int:
+        """The newest format that the process reads."""
+
+
+_decode = msgspec.json.Decoder(FormatRecord).decode
+encode = msgspec.json.encode
+
+
+class FormatGate:
+    """Which format this controller may write, as its copy of the store shows."""
+
+    def __init__(self, replica: Replica, value_kb: float):
+        """`value_kb`: today's limit of a value, on which 0.5.1 rests its layouts."""
+        self.format = FIRST_FORMAT
+        self.value_kb = value_kb
+        self.legacy_chunk_tasks = legacy.chunk_tasks(value_kb)
+        replica.listen("format", self._on_record)
+
+    def _on_record(self, key: str, value: bytes | None, version: int) -> None:
+        if value is None or key:
+            return
+        record = _decode(value)
+        self.legacy_chunk_tasks = record.legacy_chunk_tasks
+        if record.format > self.format:
+            log.info("format in force format=%d", record.format)
+            self.format = record.format
+
+    @property
+    def open(self) -> bool:
+        """Whether the present format may be written."""
+        return self.format >= FORMAT
+
+    def record(self) -> bytes:
+        """The record that opens the gate."""
+        return encode(FormatRecord(FORMAT, self.legacy_chunk_tasks))
+
+
+def all_read(
+    members: Iterable[str], records: Mapping[str, Reader], answering: Mapping[str, str]
+) -> bool:
+    """Whether every configured member is known to read the present format.
+
+    `answering` names the incarnation of each member that has answered of late. A record
+    outlives its process for a moment: only one of the process that answers counts, so what
+    a predecessor read, or didn't, says nothing of its successor.
+    """
+    for name in members:
+        record = records.get(name)
+        if record is None or record.reads < FORMAT:
+            return False
+        if answering.get(name) != record.incarnation:
+            return False
+    return True
--- /dev/null
+++ b/pitchtally/formats/team_shares.py
@@ -0,0 +1,72 @@
+"""How a team's limit is shared out between parts: the record of it in the state service.
+
+Up to format 1 one value holds all teams; since format 2 each team has a key of its own,
+which then counts alone. A write of the old form that arrives late can change the old value
+only, so it changes nothing for a team that has its own key; until a team has one, the
+condition on the old value's version tells of it.
+"""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+
+from ..replica import Replica
+from ..store import Write
+from .gate import FormatGate
+
+PartShare = tuple[float, float]  # CPUs, GPUs
+
+_KEY = "pt/shares"
+
+_decode_all = msgspec.json.Decoder(dict[str, list[PartShare]]).decode
+_decode_team = msgspec.json.Decoder(list[PartShare]).decode
+_encode = msgspec.json.encode
+
+
+class TeamShares:
+    """Shares by team and part, as this controller's copy of the store shows them."""
+
+    def __init__(self, replica: Replica, gate: FormatGate):
+        self.replica = replica
+        self.gate = gate
+        self._together: dict[str, list[PartShare]] = {}
+        self._by_key: dict[str, list[PartShare]] = {}
+        replica.listen("shares", self._on_record)
+
+    def _on_record(self, rest: str, value: bytes | None, version: int) -> None:
+        key = f"{_KEY}{rest}"
+        if not rest:
+            self._together = {} if value is None else _decode_all(value)
+        elif value is None:
+            self._by_key.pop(key, None)
+        else:
+            self._by_key[key] = _decode_team(value)
+
+    def of(self, team: str) -> list[PartShare] | None:
+        """A team's share in each part; None while every part has an equal one."""
+        return self._by_key.get(self._own_key(team)) or self._together.get(team)
+
+    @staticmethod
+    def _own_key(team: str) -> str:
+        return f"{_KEY}/{quote(team, safe='')}"
+
+    def change(self, team: str, rows: list[PartShare]) -> Write:
+        """The write that gives a team these shares."""
+        key = self._own_key(team) if self.gate.open else _KEY
+        return Write(key, self._value(key, team, rows))
+
+    def versions(self, team: str) -> dict[str, int]:
+        """What a change of a team's shares rests on: nobody has changed them meanwhile."""
+        keys = [_KEY, self._own_key(team)] if self.gate.open else [_KEY]
+        return {key: self.replica.version(key) for key in keys}
+
+    def unchanged(self, key: str, team: str, rows: list[PartShare]) -> bytes:
+        """The value that leaves things as they stand: `rows` if the team has no record yet."""
+        return self._value(key, team, self.of(team) or rows)
+
+    def _value(self, key: str, team: str, rows: list[PartShare]) -> bytes:
+        if key == _KEY:
+            return _encode({**self._together, team: rows})
+        return _encode(rows)
--- a/pitchtally/policy.py
+++ b/pitchtally/policy.py
@@ -220,7 +220,9 @@
         """A figure of the platform's settings; KeyError with the reason if there is none."""
         if section not in _SECTIONS:
             raise KeyError(f"no section {section!r} in the settings")
-        found = getattr(getattr(self.settings.deployment, section), field, None)
+        deployment = self.settings.deployment
+        limits = deployment.state_to_keep if section == "state" else getattr(deployment, section)
+        found = getattr(limits, field, None)
         if not isinstance(found, int | float):
             raise KeyError(f"no figure {section}.{field} in the settings")
         return found
--- a/pitchtally/settings.py
+++ b/pitchtally/settings.py
@@ -60,6 +60,15 @@
     cancel_s: float = 60.0
 
 
+class NextStateLimits(Struct, frozen=True):
+    """Limits that the state service will have from an unknown moment on; None: as today."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class StateLimits(Struct, frozen=True):
     """Limits of the state service, for all nodes together."""
 
@@ -67,6 +76,21 @@
     write_rps: float = 20.0
     value_kb: float = 8.0
     txn_ops: int = 8
+    next: NextStateLimits | None = None
+
+    def to_keep(self) -> StateLimits:
+        """The smaller of today's limits and the announced ones, figure by figure.
+
+        Nobody is told when the announced ones begin, so they hold from our start.
+        """
+        if self.next is None:
+            return self
+        smaller = {}
+        for name in NextStateLimits.__struct_fields__:
+            announced = getattr(self.next, name)
+            today = getattr(self, name)
+            smaller[name] = today if announced is None else min(today, announced)
+        return StateLimits(**smaller)
 
 
 class CloudLimits(Struct, frozen=True):
@@ -97,6 +121,11 @@
     cloud: CloudLimits = field(default_factory=CloudLimits)
     machine_limits: MachineLimits = field(default_factory=MachineLimits)
 
+    @property
+    def state_to_keep(self) -> StateLimits:
+        """The state service's limits that every request has to keep."""
+        return self.state.to_keep()
+
 
 class Settings(Struct, frozen=True):
     """One controller's settings file."""
@@ -158,6 +187,7 @@
             value = getattr(part, name)
             if not 0 < value < float("inf"):
                 raise SettingsError(f"{path}: {section}.{name}: must be above 0, is {value}")
+    _check_next_limits(path, settings.deployment.state.next)
     addresses = {
         "public_addr": settings.public_addr,
         "peer_bind": settings.peer_bind,
@@ -176,3 +206,14 @@
                 raise SettingsError(
                     f"{path}: deployment.teams.{team.name}.{name}: must be 0 or more"
                 )
+
+
+def _check_next_limits(path: str | Path, limits: NextStateLimits | None) -> None:
+    if limits is None:
+        return
+    for name in NextStateLimits.__struct_fields__:
+        value = getattr(limits, name)
+        if value is not None and not 0 < value < float("inf"):
+            raise SettingsError(
+                f"{path}: deployment.state.next.{name}: must be above 0, is {value}"
+            )
--- a/pitchtally/store.py
+++ b/pitchtally/store.py
@@ -40,6 +40,10 @@
         super().__init__(reason, unknown=True)
 
 
+class Refused(StoreDown):
+    """The store will not execute such a request: a value or a transaction is too large."""
+
+
 class Conflict(Exception):
     """A condition failed; nothing was changed."""
 
@@ -165,6 +169,8 @@
             raise Conflict(self._decode(_revision, answer).failed)
         if status == 400 and b"lease" in answer:
             raise NoLease
+        if status == 400:
+            raise Refused(f"status {status}: {answer[:100]!r}")
         raise StoreDown(f"status {status}: {answer[:100]!r}")
 
     async def grant(self, ttl: float) -> int:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,8 @@
 
 from pitchtally import policy, tokens, wire
 from pitchtally.control.capacity import share_of
-from pitchtally.control.jobs import OPEN, Job, Record
+from pitchtally.control.job_records import OPEN, Record
+from pitchtally.control.jobs import Job
 from pitchtally.control.machines import Placement
 from pitchtally.control.members import Owner, part_of
 from pitchtally.control.messages import Heartbeat
@@ -31,7 +32,7 @@
     """A controller that owns a part, with no loops running."""
     config = settings("n0")
     found = Controller(config, policy.parse("", config))
-    found.fleet.types = {"big": TYPE}
+    found.fleet.machine_types.known = {"big": TYPE}
     found.replica.seen = token
     found.replica.fresh_at = trio.current_time()
     found.members.owners[part] = (Owner("n0", found.members.incarnation), token)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,12 +11,15 @@
 import trio.testing
 
 from pitchtally import policy, tokens, wire
-from pitchtally.control import jobs, messages
+from pitchtally.control import messages
 from pitchtally.control.acceptance import Acceptances, Pending
-from pitchtally.control.jobs import Bits, Job, Record
+from pitchtally.control.job_records import OPEN, Record, TaskRange, encode
+from pitchtally.control.jobs import Job
 from pitchtally.control.messages import Cancellation, Heartbeat, MachineStatus, PartStatus
 from pitchtally.control.service import Controller
 from pitchtally.control.submission import parse_job
+from pitchtally.formats.gate import KEY
+from pitchtally.settings import NextStateLimits, StateLimits
 from pitchtally.store import Write
 
 from .sim import job, settings
@@ -35,34 +38,78 @@
     """The largest chunk of the record of a part's machines."""
     workers = controller.workers
     chunks: dict[int, dict[str, list[object]]] = {}
-    for number in range(0, 930 * 3, 3):
+    for number in range(0, 1400 * 3, 3):
         name = f"i-{number:09d}"
         row = ["vineeye-large", "chaophraya-north", False, "10.100.200.250:65000"]
         chunks.setdefault(workers.records.chunk_of(name), {})[name] = row
-    return max(len(jobs.encode(chunk)) for chunk in chunks.values())
+    return max(len(encode(chunk)) for chunk in chunks.values())
+
+
+def _open_job(controller: Controller, tasks: int, spec: wire.JobSpec) -> Job:
+    """A new job as the store then holds it."""
+    first, record = controller.layout.lay_out_new("wk-1", Record(OPEN, tasks, spec, 1.7e9))
+    value = encode(record)
+    controller.replica.own([*first, Write("pt/jobs/wk-1", value)], 10**6)
+    return controller.job_store.jobs["wk-1"]
 
 
 def job_record(controller: Controller) -> int:
     """A wide job in as many ranges as moves make, with its finished set inside."""
-    chunk = controller.job_store.chunk
-    ranges = [jobs.TaskRange(i * 1000, i * 1000 + 1000, i % 3) for i in range(43)]
-    bits = Bits(chunk)
-    bits.join(b"\xff" * (chunk // 8))
-    return len(jobs.encode(Record(jobs.OPEN, chunk, _spec(chunk), 1.7e9, ranges, bits.text())))
+    tasks = controller.layout.inline_tasks
+    if not controller.gate.open:
+        tasks = controller.gate.legacy_chunk_tasks
+    job_ = _open_job(controller, tasks, _spec(tasks))
+    assert not job_.chunk_tasks
+    job_.finished.join(b"\xff" * (tasks // 8))
+    ranges = [TaskRange(i * 50, i * 50 + 50, i % 3) for i in range(43)]
+    return len(controller.split._record_with(job_, ranges=ranges))
 
 
 def finished_chunk(controller: Controller) -> int:
     """One piece of the finished set of a job with 100,000 tasks."""
-    job_store = controller.job_store
-    wide = Job("wk-1", Record(jobs.OPEN, 100_000, _spec(100_000)), 1, job_store.chunk)
-    assert wide.chunked
+    wide = _open_job(controller, 100_000, _spec(100_000))
+    assert wide.chunk_tasks
     wide.local = set(range(100_000 - 1))
-    return max(len(change.value or b"") for change in job_store._changes(wide))
+    steps = controller.progress._steps(wide)
+    assert all(len(step.changes) <= controller.store.limits.txn_ops for step in steps)
+    return max(len(change.value or b"") for step in steps for change in step.changes)
+
+
+def long_spec(controller: Controller) -> int:
+    """A submission with as many and as long names as are taken."""
+    types = [f"{number:03d}" + "x" * 97 for number in range(100)]
+    body = job(1, rows=100_000, vintage="v" * 200, crew="c" * 200, cask='"' * 200, presses=types)
+    spec = parse_job(json.dumps(body).encode())
+    first, record = controller.layout.lay_out_new(spec.id, Record(OPEN, spec.tasks, spec))
+    if not controller.gate.open:
+        # The old form can't hold it: it is not taken, and not refused for good.
+        assert not controller.layout.record_fits(encode(record))
+        return 1
+    writes = [*first, Write(f"pt/jobs/{spec.id}", encode(record))]
+    for number, change in enumerate(reversed(writes)):  # a full read may find the record first
+        controller.replica.own([change], 10**6 + number)
+    assert controller.job_store.jobs[spec.id].spec == spec
+    return max(len(change.value or b"") for change in writes)
 
 
 def shares(controller: Controller) -> int:
-    rows = {f"{LONG[:40]}{i}": [(12345.678, 12345.678)] * 3 for i in range(30)}
-    return len(jobs.encode(rows))
+    teams = [f"{LONG[:40]}{i}" for i in range(30)]
+    changes = []
+    for number, team in enumerate(teams):
+        change = controller.split.teams.shares.change(team, [(12345.678, 12345.678)] * 3)
+        controller.replica.own([change], 10**6 + number)
+        changes.append(change)
+    assert all(controller.split.teams.shares.of(team) for team in teams)
+    return max(len(change.value or b"") for change in changes)
+
+
+def machine_types(controller: Controller) -> int:
+    zones = [f"{LONG[:20]}{i}" for i in range(8)]
+    found = [wire.MachineType(f"{LONG[:20]}{i}", 1.5, 2.5, zones=zones) for i in range(15)]
+    changes = controller.fleet.machine_types.lay_out(found)
+    controller.replica.own(changes, 10**6)
+    assert controller.fleet.types == {kind.name: kind for kind in found}
+    return max(len(change.value or b"") for change in changes)
 
 
 def acceptances(controller: Controller) -> int:
@@ -70,7 +117,7 @@
     found = Acceptances(controller.store, controller.replica)
     controller.store.writes.resize(1000.0)
     for number in range(1000):
-        value = jobs.encode(Record(jobs.OPEN, 800, _spec(800), 1.7e9, [jobs.TaskRange(0, 800, 1)]))
+        value = encode(Record(OPEN, 800, _spec(800), 1.7e9, [TaskRange(0, 800, 1)]))
         key = f"pt/jobs/wk-{number:018d}"
         found.waiting.append(Pending(key, Write(key, value), {key: 0, "pt/parts/1": 10**12}))
     batch = found._batch()
@@ -102,27 +149,62 @@
     return len(messages.encode(told))
 
 
-LIMITS: list[tuple[Callable[[Controller], int], int]] = [
-    (fleet_record, 8 * KIB),
-    (job_record, 8 * KIB),
-    (finished_chunk, 8 * KIB),
-    (shares, 8 * KIB),
+STORED: list[Callable[[Controller], int]] = [
+    fleet_record,
+    job_record,
+    finished_chunk,
+    long_spec,
+    shares,
+    machine_types,
+]
+SENT: list[tuple[Callable[[Controller], int], int]] = [
     (acceptances, 64 * KIB),
     (orders, 64 * KIB),
     (heartbeat, 4 * KIB * KIB),
 ]
-
-
-@pytest.mark.parametrize(("size", "limit"), LIMITS, ids=lambda x: getattr(x, "__name__", ""))
-def test_size(size: Callable[[Controller], int], limit: int) -> None:
+# Today's limits alone, and with lower ones announced: while a member of an earlier version
+# is left (values as today), and once the format gate is open.
+TODAY = StateLimits(rps=300, write_rps=100, value_kb=8, txn_ops=16)
+ANNOUNCED = StateLimits(
+    rps=300, write_rps=100, value_kb=8, txn_ops=16, next=NextStateLimits(value_kb=2, txn_ops=4)
+)
+PHASES = [(TODAY, False, 8), (TODAY, True, 8), (ANNOUNCED, False, 8), (ANNOUNCED, True, 2)]
+
+
+def _with_controller(
+    state: StateLimits, gate_open: bool, body: Callable[[Controller], None]
+) -> None:
     async def main() -> None:
-        config = settings("n0")
-        found = size(Controller(config, policy.parse("", config)))
-        assert 0 < found <= limit
+        config = settings("n0", state=state)
+        controller = Controller(config, policy.parse("", config))
+        if gate_open:
+            controller.replica.own([Write(KEY, controller.gate.record())], 10)
+        assert controller.gate.open == gate_open
+        body(controller)
 
     trio.run(main, clock=trio.testing.MockClock())
 
 
+@pytest.mark.parametrize(("state", "gate_open", "value_kb"), PHASES)
+@pytest.mark.parametrize("size", STORED, ids=lambda x: x.__name__)
+def test_stored_size(
+    size: Callable[[Controller], int], state: StateLimits, gate_open: bool, value_kb: int
+) -> None:
+    def body(controller: Controller) -> None:
+        assert 0 < size(controller) <= value_kb * KIB
+
+    _with_controller(state, gate_open, body)
+
+
+@pytest.mark.parametrize("state", [TODAY, ANNOUNCED], ids=["today", "announced"])
+@pytest.mark.parametrize(("size", "limit"), SENT, ids=lambda x: getattr(x, "__name__", ""))
+def test_sent_size(size: Callable[[Controller], int], limit: int, state: StateLimits) -> None:
+    def body(controller: Controller) -> None:
+        assert 0 < size(controller) <= limit
+
+    _with_controller(state, True, body)
+
+
 def test_more_than_a_burst_is_paid_for() -> None:
     """Batches charged as one burst went over the limit for all nodes."""
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -9,9 +9,10 @@
 import trio.testing
 
 from pitchtally import tokens
+from pitchtally.control.bits import Bits
 from pitchtally.control.capacity import fits, plan_gang, times
 from pitchtally.control.holdings import Pool
-from pitchtally.control.jobs import Bits, merge
+from pitchtally.control.job_records import merge
 from pitchtally.control.members import part_of, preference
 
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -45,7 +45,7 @@
     def __init__(self) -> None:
         config = settings("n0")
         self.controller = controller = Controller(config, policy.parse("", config))
-        controller.fleet.types = {"big": TYPE}
+        controller.fleet.machine_types.known = {"big": TYPE}
         controller.replica.seen = TOKEN
         controller.members.owners[PART] = (Owner("n0", controller.members.incarnation), TOKEN)
         controller.members._announce(PART)
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -12,7 +12,7 @@
 
 from pitchtally import policy
 from pitchtally.control.acceptance import Acceptances, Pending
-from pitchtally.control.jobs import TaskRange
+from pitchtally.control.job_records import TaskRange
 from pitchtally.control.members import Members
 from pitchtally.control.messages import (
     Ack,
