Services: replicas run until cancelled, start whole, come back, and take capacity for good

A replica that ends is never done and runs again, with a back-off where it ends at once; 422 when all together exceed the team's limit; in the queues what runs is capacity lost, what waits counts for start_within seconds.

--- a/pitchtally/control/gang_planning.py
+++ b/pitchtally/control/gang_planning.py
@@ -61,9 +61,6 @@
         if self.split.teams.limit_left(spec) < spec.tasks:
             return None
         now = trio.current_time()
-        self.booked = [
-            row for row in self.booked if now - row[0] < self.policy.heartbeat_interval * 3
-        ]
         under = self.split.teams.under(spec)
         sources = [CapacitySource.FREE]
         if spec.rank != wire.RANKS[-1]:
@@ -109,6 +106,27 @@
             )
         return None
 
+    def plan_service(self, spec: wire.JobSpec, parts: Iterable[int]) -> Plan | None:
+        """One of these parts that has room for every replica of a service, by preemption if
+        need be; None if none has, so that the replicas go wherever there is some."""
+        now = trio.current_time()
+        for source in (CapacitySource.FREE, CapacitySource.YIELDING):
+            rooms = self._free_capacity(spec, source)
+            rows = []
+            for part in parts:
+                here = {key: count for key, count in rooms.items() if key[0] == part}
+                found = plan_gang(here, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
+                if found is not None:
+                    rows.append((-sum(here.values()), part, found))
+            if rows:
+                _, part, found = min(rows, key=lambda row: row[:2])
+                for key, count in found.items():
+                    self.booked.append((now, key, need_of(spec), count))
+                bound = spec.one_zone and spec.tasks > 1
+                zone = next(zone for _, zone in found) if bound else None
+                return Plan([TaskRange(0, spec.tasks, part)], zone)
+        return None
+
     def _may_keep(self, id: str, now: float) -> bool:
         """Room is kept for one gang at a time: two could each hold half of the other's."""
         if self.keeping is None or self.keeping[0] == id:
@@ -132,6 +150,8 @@
     ) -> dict[tuple[int, str], int]:
         """Tasks that each part could start in each zone, less what was booked just now."""
         need = need_of(spec)
+        limit = trio.current_time() - self.policy.heartbeat_interval * 3
+        self.booked = [row for row in self.booked if row[0] > limit]
         rooms: dict[tuple[int, str], int] = {}
         for status in self.split.statuses.newest.values():
             for zone, count in self._free_capacity_in(status, spec, source).items():
@@ -201,7 +221,11 @@
             )
 
     def plan_whole(self, spec: wire.JobSpec) -> Plan | None:
-        """The part, and the zone if it needs one, for an array that stays whole."""
+        """The part, and the zone if it needs one, for an array or service that stays whole."""
+        if spec.is_service:
+            plan = self.plan_service(spec, self.split.statuses.newest)
+            if plan is not None:
+                return plan
         best = self.best_part(spec)
         if best is None:
             return None
--- a/pitchtally/control/hiring.py
+++ b/pitchtally/control/hiring.py
@@ -180,12 +180,21 @@
                 free += times(need, status.free)
         coming = sum(self._slots(spec, booting.group) for booting in self.fleet.booting.values())
         slots += coming
+        allowed = self.split.teams.limit_left(spec) - free - coming
+        if spec.is_service:
+            # It never makes room for what waits behind it: only free machines help.
+            yielding = sum(
+                times(need, status.yielding)
+                for status in statuses.values()
+                if status.flag == MachineFlag.USABLE
+                and self._slots(spec, Group(status.type, status.zone, status.spot))
+            )
+            return min(demand.tasks - free - yielding - coming, allowed)
         # Work that the present machines finish before a new one is up needs none.
         patience = self.fleet.policy.hire_patience * self.split.order.slack(spec)
         if slots and demand.seconds / slots <= patience:
             return 0.0
         # More machines than the team's limit can fill would only cost.
-        allowed = self.split.teams.limit_left(spec) - free - coming
         return min(demand.seconds / patience - slots, demand.tasks, allowed)
 
     def _slots(self, spec: wire.JobSpec, group: Group) -> int:
--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -11,6 +11,9 @@
 from .jobs import Job
 from .machines import Group, Machine, Need, Placement, need_of
 
+# Machines: a group wholly taken by services still has a queue, if an endless one.
+LEAST_WIDTH = 0.05
+
 
 class Pool:
     """Tasks not started: ranges, so that a wide array costs little."""
@@ -60,6 +63,8 @@
         self.need = need_of(spec)
         self.rank = RANK[spec.rank]
         self.gang = spec.kind == wire.GANG
+        self.service = spec.is_service
+        self.short_runs = 0  # replicas in a row that ended soon after their start
         self.one_zone = spec.one_zone and spec.tasks > 1
         self.release = release  # acceptance on this node's steady clock
         self.size = 0.0  # w, and what lateness adds: renewed with each survey
@@ -81,6 +86,14 @@
         self.faulty = False  # fails wherever it goes, see `blame`
         self.tried = 0  # the shared attempt that was placed last
 
+    def most_in_zone(self) -> int:
+        """How many tasks of a spread job may be in one zone."""
+        return (self.spec.tasks + 1) // 2
+
+    def placed_in(self, zone: str) -> int:
+        """How many of its tasks are on machines of a zone, those told to stop included."""
+        return sum(1 for p in self.placed.values() if p.machine.zone == zone)
+
     def rebuild(self) -> None:
         """Everything in the ranges that is neither finished nor placed."""
         self.ranges = [(a, b) for a, b, p in self.job.record.ranges if p == self.part]
@@ -103,6 +116,8 @@
     def give_back(self, task: int) -> None:
         """A task is nowhere any more: it waits again, unless it is done or another part's."""
         if any(a <= task < b for a, b in self.ranges) and not self.job.is_finished(task):
+            if self.service and not self.pool.count:
+                self.since = trio.current_time()  # all of it ran until now
             self.pool.put(task, task + 1)
 
 
@@ -119,6 +134,12 @@
         self.work: dict[str, float] = {}  # job -> machine-seconds running and queued
         self.ranks: dict[str, int] = {}
         self.level = 0.0  # the least stretch that its queue meets
+        self.held = 0.0  # machines' worth of room that services hold
+
+    @property
+    def width(self) -> float:
+        """Machines that are left to work that ends: services take theirs for good."""
+        return max(LEAST_WIDTH, len(self.machines) - self.held)
 
 
 class PartWork:
--- a/pitchtally/control/jobs.py
+++ b/pitchtally/control/jobs.py
@@ -70,7 +70,7 @@
     @property
     def service(self) -> bool:
         """Whether its tasks run until its user cancels it: none of them is ever done."""
-        return self.open and self.spec.kind == wire.SERVICE
+        return self.open and self.spec.is_service
 
     @property
     def chunk_tasks(self) -> int:
@@ -89,7 +89,7 @@
         return self.finished.count + len(self.local) >= self.record.tasks
 
     def is_finished(self, task: int) -> bool:
-        """Whether a task is done, durably or not yet."""
+        """Whether a task is done, durably or not yet; a service's replica never is."""
         return not self.open or task in self.finished or task in self.local
 
     def current_record(self) -> Record:
--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -59,7 +59,9 @@
                 for aim in self.aims.get(None, ())
                 if aim.kind == "guarantee" and aim.within_s is not None
             )
-        return max(1.0, min(found, default=task * 3))
+        # A service is missed from its first second on.
+        usual = self.report_s if spec.is_service else task * 3
+        return max(1.0, min(found, default=usual))
 
     def size(self, spec: wire.JobSpec) -> float:
         """w of the paper: the whole size of a job, in task-seconds."""
@@ -151,6 +153,8 @@
         already makes the next one late too. It goes behind those that may be in time, but
         not for ever: after twice what users bear it comes first again.
         """
+        if job.service:
+            return False  # what it lacks now says nothing of when it was accepted
         waited = trio.current_time() - self.release(job)
         limit = self.policy.start_within
         return whole(job.spec) and limit < waited < 2 * limit
--- a/pitchtally/control/part_statuses.py
+++ b/pitchtally/control/part_statuses.py
@@ -172,7 +172,7 @@
                 self.split.sizes,
                 self.split.tasks,
                 now,
-                len(group.machines),
+                group.width,
             )
             out.append((f"{type_}|{zone}|{int(spot)}", cells))
         return out
--- a/pitchtally/control/parts.py
+++ b/pitchtally/control/parts.py
@@ -26,6 +26,9 @@
 
 log = logging.getLogger("parts")
 
+# Report intervals between two tries of what ends at once again and again, at the most.
+LONGEST_BACKOFF = 16.0
+
 
 class Parts(SchedulerComponent):
     """The parts we own: taken, loaded, settled, lost, and the tasks that each holds."""
@@ -196,6 +199,8 @@
         if not job.is_finished(placement.task):
             holding.give_back(placement.task)
             work.expect(holding.need)
+            if holding.service:
+                self._replica_ended(holding, placement, cause)
             if cause == wire.ERROR:
                 self._failed(work, holding, placement)
             elif cause == wire.UNKNOWN:
@@ -206,6 +211,23 @@
                 self.workers.stop(other, job.spec.save)
         self.split.wake.set()
 
+    def _replica_ended(self, holding: Holding, placement: Placement, cause: str) -> None:
+        """Back off where replicas end by themselves again and again; forgive what ran long."""
+        now = trio.current_time()
+        if cause not in (wire.DONE, wire.ERROR):
+            return
+        ran = now - placement.run_at if placement.run_at is not None else 0.0
+        if ran >= self.policy.unhealthy_rest:
+            # Whatever ended it, it isn't that the job, or the machine, fails each start.
+            holding.short_runs = 0
+            holding.failed_on.clear()
+            holding.failed_after = 0.0
+        elif cause == wire.DONE:
+            holding.short_runs += 1
+            pause = self.report_s * min(2.0**holding.short_runs, LONGEST_BACKOFF)
+            if holding.short_runs > 1:
+                holding.not_before = now + pause
+
     def _failed(self, work: PartWork, holding: Holding, placement: Placement) -> None:
         """Whose fault it was, by all that is known: the job waits, or the machine rests."""
         now = trio.current_time()
@@ -220,7 +242,7 @@
         if holding.not_before <= now:
             # One failure a try: those that started together count once.
             holding.probes += 1
-            pause = self.report_s * min(2.0**holding.probes, 16.0)
+            pause = self.report_s * min(2.0**holding.probes, LONGEST_BACKOFF)
             holding.not_before = now + pause
             log.info(
                 "job fails wherever it goes job=%s machines=%d pause=%.1f",
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -93,6 +93,9 @@
                 # What stands on machines out of use is in it: they are few, and their
                 # tasks will want room again.
                 share = share_of(load.need, machine_group.kind)
+                if work.holdings[id].service:
+                    machine_group.held += load.count * share
+                    continue
                 machine_group.work[id] = load.left(seconds, now) * share
                 machine_group.ranks[id] = load.rank
 
@@ -120,9 +123,7 @@
             holding = work.holdings.get(id)
             if holding is not None and machine_group.ranks[id] <= rank:
                 out.append(
-                    stretch.Entry(
-                        holding.release, holding.size, amount / len(machine_group.machines)
-                    )
+                    stretch.Entry(holding.release, holding.size, amount / machine_group.width)
                 )
         return out
 
@@ -154,7 +155,7 @@
                 continue
             queues = [self.queue(work, machine_group, holding.rank) for _, machine_group in able]
             costs = [self.work(holding.spec, machine_group.kind) for _, machine_group in able]
-            like = [len(machine_group.machines) for _, machine_group in able]
+            like = [machine_group.width for _, machine_group in able]
 
             found = self._least_counts(queues, costs, like, holding.release, holding.size, more)
             # Beyond the largest sample nothing is promised: spread by what there is.
@@ -173,7 +174,7 @@
         self,
         queues: list[list[stretch.Entry]],
         costs: list[float],
-        like: list[int],
+        like: list[float],
         release: float,
         size: float,
         wanted: int,
@@ -183,7 +184,7 @@
 
         def counts(level: float) -> list[int]:
             return [
-                n * stretch.capacity(stretch.gap(q, level, release, size, now), a)
+                int(n * stretch.capacity(stretch.gap(q, level, release, size, now), a))
                 for q, a, n in zip(queues, costs, like, strict=True)
             ]
 
@@ -279,8 +280,7 @@
             # One task at a time tells whether it still fails.
             limit = min(limit, 1 - len(holding.placed))
         if spec.spread and spec.tasks > 1 and limit:
-            inside = sum(1 for p in holding.placed.values() if p.machine.zone == machine.zone)
-            limit = min(limit, (spec.tasks + 1) // 2 - inside)
+            limit = min(limit, holding.most_in_zone() - holding.placed_in(machine.zone))
         return limit
 
     def _has_started(self, holding: Holding, machine: Machine, count: int) -> None:
@@ -380,7 +380,8 @@
                 spec = placement.spec
                 ran = now - placement.run_at if placement.run_at is not None else 0.0
                 # The notice may be half as long as told, and estimates are rough.
-                if (self.split.estimates.task(spec) - ran) * 2 < left:
+                over_soon = (self.split.estimates.task(spec) - ran) * 2 < left
+                if over_soon and not spec.is_service:
                     continue
                 for each in self.split.preemption.with_gang(work, placement):
                     self.workers.stop(each, each.spec.save if each.spec.checkpoint else 0.0)
--- a/pitchtally/control/preemption.py
+++ b/pitchtally/control/preemption.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -70,6 +71,8 @@
             return False
         if not self.split.parts.ready(work, holding.job.id, holding, now):
             return False
+        if holding.service:
+            return True  # free room is counted first, see `_choose`
         if not holding.gang:
             return now - holding.since >= self.policy.preempt_after
         attempt = holding.job.record.attempt
@@ -79,12 +82,18 @@
     def _choose(holding: Holding, steps: list[Step]) -> list[Step]:
         """The cheapest steps that serve the job; none for a gang that would stay too small."""
         wanted = holding.pool.count
-        if not holding.gang:
-            # Where room is free already the next report starts them.
-            wanted -= sum(1 for step in steps if not step.victims)
         chosen: list[Step] = []
         zones: dict[str, int] = {}
         caps = {zone: cap for p, zone, cap in holding.job.record.caps if p == holding.part}
+        if holding.spec.spread and not holding.gang and holding.spec.tasks > 1:
+            # Room in a zone that has its half of the tasks already would be made in vain.
+            for zone in {step.machine.zone for step in steps}:
+                caps[zone] = holding.most_in_zone() - holding.placed_in(zone)
+        if not holding.gang:
+            # Where room is free already the next report starts them.
+            for zone, free in Counter(s.machine.zone for s in steps if not s.victims).items():
+                zones[zone] = max(0, min(free, caps.get(zone, free)))
+            wanted -= sum(zones.values())
         for step in steps:
             zone = step.machine.zone
             if len(chosen) >= wanted or zones.get(zone, 0) >= caps.get(zone, wanted):
--- a/pitchtally/control/rebalancing.py
+++ b/pitchtally/control/rebalancing.py
@@ -131,6 +131,7 @@
                 if self.split.parts.ready(work, id, h, now)
                 and not h.faulty
                 and not whole(h.job.spec)
+                and not h.service  # it goes where there is room, not to a shorter queue
                 and len(h.job.record.ranges) <= RANGES
             ]
             for _, id in sorted(rows, reverse=True)[:2]:
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -95,7 +95,7 @@
         self.types = types
         self.count = settings.deployment.count
         self.report_s = settings.deployment.workers.report_s
-        self.estimates = Estimates()
+        self.estimates = Estimates(policy.start_within)
         self.wake = trio.Event()
         # S in task-seconds per task-second: from far below any real queue upward.
         self.stretches = stretch.samples(2.0**-12, 2.0**3, int(policy.stretch_samples))
@@ -141,6 +141,9 @@
         if spec.kind == wire.GANG:
             token = self.members.token(mine[0])
             return (token is not None and self.gang_planning.plan(spec, token)) or NOBODY
+        if spec.is_service:
+            # Rooms are compared, not queues: it goes to the leader only if ours lack it.
+            return self.gang_planning.plan_service(spec, mine) or NOBODY
         if whole(spec):
             best = self.gang_planning.best_part(spec)
             if best not in mine:
@@ -196,6 +199,10 @@
             return NOBODY
         if whole(spec):
             return self.gang_planning.plan_whole(spec) or NOBODY
+        if spec.is_service:
+            plan = self.gang_planning.plan_service(spec, self.statuses.newest)
+            if plan is not None:
+                return plan
         return Plan(self.divide(spec))
 
     async def _assign(self) -> None:
--- a/pitchtally/control/stretch.py
+++ b/pitchtally/control/stretch.py
@@ -140,7 +140,7 @@
     sizes: Sequence[float],
     tasks: Sequence[float],
     now: float,
-    like: int = 1,
+    like: float = 1.0,
 ) -> list[list[list[int]]]:
     """Availability summed over machines: cell [S][w][a] is a number of tasks.
 
@@ -153,7 +153,7 @@
         for size in sizes:
             limit = deadline(now, size, stretch)
             gaps = [gap_in(found, limit, now) for found in lines]
-            plane.append([like * sum(capacity(g, a) for g in gaps) for a in tasks])
+            plane.append([int(like * sum(capacity(g, a) for g in gaps)) for a in tasks])
         out.append(plane)
     return out
 
--- a/pitchtally/control/submission.py
+++ b/pitchtally/control/submission.py
@@ -112,7 +112,8 @@
     ]
     if not able:
         raise Invalid(422, _NAMES["types"], "a task fits no allowed machine type")
-    at_once = spec.tasks if spec.kind == wire.GANG else 1
+    # An array goes on task by task; a gang, and a service, need room for all.
+    at_once = spec.tasks if spec.kind in (wire.GANG, wire.SERVICE) else 1
     for name, need, limit in (
         ("cpus", spec.cpus, team.cpus_max),
         ("gpus", spec.gpus, team.gpus_max),
--- a/pitchtally/control/workers.py
+++ b/pitchtally/control/workers.py
@@ -396,7 +396,10 @@
         if placement is None:
             return
         job = placement.job
-        if cause == wire.DONE:
+        if cause == wire.DONE and placement.spec.is_service:
+            # It should have gone on: nothing is finished, and the machine isn't praised.
+            log.info("replica ended task=%s machine=%s", key, machine.name)
+        elif cause == wire.DONE:
             machine.failed_jobs.clear()
             machine.failed_at.clear()
             machine.errors = 0
@@ -449,7 +452,12 @@
             if cause == wire.DONE:
                 id, _, number = key.rpartition("/")
                 job = self.job_store.jobs.get(id)
-                if job is not None and job.open and int(number) not in job.finished:
+                if (
+                    job is not None
+                    and job.open
+                    and not job.service
+                    and int(number) not in job.finished
+                ):
                     continue  # the report is the only durable trace so far
             orders.append(wire.Order(wire.FORGET, key, attempt))
         return orders
--- a/pitchtally/formats/job_layout.py
+++ b/pitchtally/formats/job_layout.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from .. import wire
 from ..settings import StateLimits
 from ..store import Write
 from . import finished, legacy, pieces
@@ -54,8 +53,7 @@
         """A new job: what has to be written before its record, and the record."""
         if not self.gate.open or record.spec is None:
             return [], record
-        service = record.spec.kind == wire.SERVICE
-        if not service and record.tasks > self._most_inline():
+        if not record.spec.is_service and record.tasks > self._most_inline():
             record = msgspec.structs.replace(record, chunk_tasks=self.chunk_tasks)
         if len(encode(record.spec)) <= self.value_bytes * SPEC_SHARE:
             return [], record
--- a/pitchtally/wire.py
+++ b/pitchtally/wire.py
@@ -64,6 +64,11 @@
     save: float = field(name="bottleS", default=0.0)
     deadline: float | None = field(name="harvestS", default=None)
 
+    @property
+    def is_service(self) -> bool:
+        """Whether its tasks run until its user cancels the job."""
+        return self.kind == SERVICE
+
 
 class TaskReport(Struct):
     """One task as a worker reports it."""
