--- a/pitchtally/control/gang_planning.py
+++ b/pitchtally/control/gang_planning.py
@@ -70,7 +70,7 @@
         if job is not None and self.split.order.late(job) and self._may_keep(job.id, now):
             sources.append(CapacitySource.KEPT)
         for source in sources:
-            rooms = self._free_capacity(spec, source)
+            rooms = self.free_capacity(spec, source)
             found = plan_gang(rooms, spec.tasks, one_zone=spec.one_zone, spread=spec.spread)
             if found is None:
                 continue
@@ -111,7 +111,7 @@
         need be; None if none has, so that the replicas go wherever there is some."""
         now = trio.current_time()
         for source in (CapacitySource.FREE, CapacitySource.YIELDING):
-            rooms = self._free_capacity(spec, source)
+            rooms = self.free_capacity(spec, source)
             rows = []
             for part in parts:
                 here = {key: count for key, count in rooms.items() if key[0] == part}
@@ -145,7 +145,7 @@
             log.info("gang waits for room job=%s part=%d zone=%s", spec.id, part, plan.zone)
         return plan
 
-    def _free_capacity(
+    def free_capacity(
         self, spec: wire.JobSpec, source: CapacitySource
     ) -> dict[tuple[int, str], int]:
         """Tasks that each part could start in each zone, less what was booked just now."""
--- a/pitchtally/control/gangs.py
+++ b/pitchtally/control/gangs.py
@@ -261,10 +261,16 @@
                     continue
                 if holding.placed:
                     self._stop_if_incomplete(holding)
-                    self._leave_if_stuck(holding)
-                elif holding.pool.count and self._gives_up(work, holding):
+                elif self._alone(holding) and self._gives_up(work, holding):
                     await self._give_back(work, holding, token)
 
+    @staticmethod
+    def _alone(holding: Holding) -> bool:
+        """Whether it has tasks that wait, and isn't a service that runs in other parts too."""
+        if holding.service and len(holding.job.record.ranges) > 1:
+            return False  # what it lacks moves alone, see `service_moves`
+        return holding.pool.count > 0
+
     def _stop_if_incomplete(self, holding: Holding) -> None:
         """Stop the tasks of an attempt that another part has given up."""
         job = holding.job
@@ -273,28 +279,6 @@
             for placement in list(holding.placed.values()):
                 self.workers.stop(placement, job.spec.save)
 
-    def _leave_if_stuck(self, holding: Holding) -> None:
-        """Stop a service that can't be whole here, so that it starts whole elsewhere.
-
-        An array's other tasks end some day, and its rest is given back then. A service's
-        don't: a replica that finds no room in the zones left to it would wait for ever.
-        """
-        now = trio.current_time()
-        if not holding.service or not holding.pool.count or holding.not_before > now:
-            return
-        if now - holding.since < self.policy.start_within / 6:
-            return
-        spec, part = holding.spec, holding.part
-        if not self.split.teams.tasks_within_limit(part, spec):
-            return  # it waits for its team's limit, wherever it is
-        others = [p for p in self.split.statuses.newest if p != part]
-        if self.split.gang_planning.plan_service(spec, others) is None:
-            return
-        log.info("service leaves job=%s part=%d missing=%d", spec.id, part, holding.pool.count)
-        holding.not_before = now + self.settings.deployment.workers.lease_s
-        for placement in list(holding.placed.values()):
-            self.workers.stop(placement, 0.0)
-
     def _gives_up(self, work: PartWork, holding: Holding) -> bool:
         """Whether a job has waited here in vain, or its attempt has failed."""
         job = holding.job
--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -52,6 +52,11 @@
         return out
 
 
+def most_in_zone(spec: wire.JobSpec) -> int:
+    """How many tasks of a spread job may be in one zone, all parts together."""
+    return (spec.tasks + 1) // 2
+
+
 class Holding:
     """The tasks of one job in one part that this node owns."""
 
@@ -86,9 +91,11 @@
         self.faulty = False  # fails wherever it goes, see `blame`
         self.tried = 0  # the shared attempt that was placed last
 
-    def most_in_zone(self) -> int:
-        """How many tasks of a spread job may be in one zone."""
-        return (self.spec.tasks + 1) // 2
+    def most_in_zone(self, zone: str) -> int:
+        """How many tasks of a spread job this part may have in a zone."""
+        if self.service and self.job.record.caps:
+            return sum(n for p, z, n in self.job.record.caps if (p, z) == (self.part, zone))
+        return most_in_zone(self.spec)
 
     def placed_in(self, zone: str) -> int:
         """How many of its tasks are on machines of a zone, those told to stop included."""
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -280,7 +280,8 @@
             # One task at a time tells whether it still fails.
             limit = min(limit, 1 - len(holding.placed))
         if spec.spread and spec.tasks > 1 and limit:
-            limit = min(limit, holding.most_in_zone() - holding.placed_in(machine.zone))
+            zone = machine.zone
+            limit = min(limit, holding.most_in_zone(zone) - holding.placed_in(zone))
         return limit
 
     def _has_started(self, holding: Holding, machine: Machine, count: int) -> None:
--- a/pitchtally/control/preemption.py
+++ b/pitchtally/control/preemption.py
@@ -88,7 +88,7 @@
         if holding.spec.spread and not holding.gang and holding.spec.tasks > 1:
             # Room in a zone that has its half of the tasks already would be made in vain.
             for zone in {step.machine.zone for step in steps}:
-                caps[zone] = holding.most_in_zone() - holding.placed_in(zone)
+                caps[zone] = holding.most_in_zone(zone) - holding.placed_in(zone)
         if not holding.gang:
             # Where room is free already the next report starts them.
             for zone, free in Counter(s.machine.zone for s in steps if not s.victims).items():
--- a/pitchtally/control/rebalancing.py
+++ b/pitchtally/control/rebalancing.py
@@ -97,7 +97,7 @@
                 continue
             count = self._movable(spec, other, waiting - here)
             if count > 0:
-                await self._give(holding, other.part, count)
+                await self.give(holding, other.part, count)
                 return
 
     def _movable(self, spec: wire.JobSpec, other: PartStatus, most: int) -> int:
@@ -157,7 +157,7 @@
                 if width:
                     count = min(count, int((here - best[0]) / 2 * width / task))
                 if count > 0:
-                    await self._give(holding, best[1], count)
+                    await self.give(holding, best[1], count)
                     break
 
     def drain_time(self, status: PartStatus, spec: wire.JobSpec) -> tuple[float, float]:
@@ -188,8 +188,17 @@
             work += count * amount * self.split.estimates.task(job.spec)
         return work / width, width
 
-    async def _give(self, holding: Holding, to: int, count: int) -> None:
-        """Tasks that are nowhere go to another part, in one conditional write."""
+    async def give(
+        self,
+        holding: Holding,
+        to: int,
+        count: int,
+        caps: list[tuple[int, str, int]] | None = None,
+    ) -> None:
+        """Tasks that are nowhere go to another part, in one conditional write.
+
+        `caps`, if given, are the job's new ones (see `Record.caps`).
+        """
         job, part = holding.job, holding.part
         token = self.members.token(part)
         if token is None:
@@ -208,7 +217,10 @@
                     ranges += [(a, x, part), (x, y, to)]
                     a = y
                 ranges.append((a, b, part))
-            if await self.split.write_ranges(job, {f"pt/parts/{part}": token}, merge(ranges)):
+            more = {} if caps is None else {"caps": caps}
+            if await self.split.write_ranges(
+                job, {f"pt/parts/{part}": token}, merge(ranges), **more
+            ):
                 self.split.statuses.record_allocation(to, job.spec, count)
                 log.debug("gave job=%s tasks=%d from=%d to=%d", job.id, count, part, to)
         except StoreDown as error:
--- a/pitchtally/control/split.py
+++ b/pitchtally/control/split.py
@@ -49,6 +49,7 @@
 from .placing import Placing
 from .preemption import Preemption
 from .rebalancing import Rebalancing
+from .service_moves import ServiceMoves
 from .teams import Teams
 from .workers import Workers
 
@@ -111,6 +112,7 @@
         self.gangs = Gangs(self)
         self.preemption = Preemption(self)
         self.rebalancing = Rebalancing(self)
+        self.service_moves = ServiceMoves(self)
 
     def _cover(self, status: PartStatus, spec: wire.JobSpec, level: int) -> int:
         """n of a part at a stretch sample, from its matrix, less what was sent since."""
@@ -359,6 +361,7 @@
                 if self.members.leading is not None:
                     await self._assign()
                 await self.gangs.give_back()
+                await self.service_moves.move()
                 await self.rebalancing.rebalance()
                 await self.rebalancing.even_out()
                 await self.teams.move_shares()
--- a/standins/network.py
+++ b/standins/network.py
@@ -217,6 +217,11 @@
             HERE.reset(host)
             CALLER.reset(caller)
 
+    @staticmethod
+    async def wait_for_ever() -> None:
+        """What a server does once its host is known."""
+        await trio.sleep_forever()
+
     def install(self, monkeypatch: Any) -> None:
         """Let every client and server of this process use this network."""
         network = self
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -29,6 +29,7 @@
         self.limits: dict[str, float] = {}  # team -> CPUs
         self.broken: list[str] = []
         self.started = 0
+        self._starts: dict[str, int] = {}  # by job
         self.late_starts: list[float] = []  # seconds from a cancellation to a start after it
         self.first: dict[str, float] = {}  # job -> when its first task started
         self.most: dict[str, float] = {}  # team -> most CPUs in use at once
@@ -39,6 +40,7 @@
         """A task takes its place on a machine."""
         job = job_of(task)
         self.started += 1
+        self._starts[job] = self._starts.get(job, 0) + 1
         self.first.setdefault(job, trio.current_time())
         if task in self.places:
             self.broken.append(f"ran_twice {task}")
@@ -49,6 +51,10 @@
         self._check_limit(self.specs[job]["crew"])
         self.check()
 
+    def starts_of(self, job: str) -> int:
+        """How many times tasks of a job were started."""
+        return self._starts.get(job, 0)
+
     def _check_place(self, worker: Worker, task: str) -> None:
         spec = self.specs[job_of(task)]
         others = [z for t, (_, z) in self.places.items() if job_of(t) == spec["ref"]]
--- a/standins/state.py
+++ b/standins/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from typing import Any
 
 import trio
@@ -11,11 +12,33 @@
 
 from .network import CALLER
 
+CONDITIONS_PER_CHANGE = 4
+
 
 def _answer(status: int, body: dict[str, Any]) -> Response:
     return Response(status, json.dumps(body).encode())
 
 
+@dataclass(slots=True)
+class Limits:
+    """What the store takes at most; changed at any time, without notice."""
+
+    value_bytes: int = 1 << 20
+    changes: int = 1 << 20  # of a transaction; conditions: four times as many
+
+    def fault(self, body: dict[str, Any]) -> str:
+        """Why a transaction is refused; empty if it isn't."""
+        if len(body["writes"]) > self.changes:
+            return f"{len(body['writes'])} changes"
+        if len(body["if"]) > CONDITIONS_PER_CHANGE * self.changes:
+            return f"{len(body['if'])} conditions"
+        for write in body["writes"]:
+            size = len(json.dumps(write.get("v"), separators=(",", ":")))
+            if size > self.value_bytes:
+                return f"{write['write']}: {size} bytes"
+        return ""
+
+
 class State:
     """The store: keys with versions, leases, watches, and outages on demand."""
 
@@ -28,6 +51,8 @@
         self.changed = trio.Event()
         self.kept = 10_000
         self.refuses: set[str] = set()  # hosts that get 503 while others are served
+        self.limits = Limits()
+        self.too_large: list[str] = []  # what was refused for its size, and who sent it
 
     def stop(self) -> None:
         """Begin an outage."""
@@ -115,6 +140,10 @@
 
     def commit(self, body: dict[str, Any]) -> Response:
         """Carry a transaction out, all or nothing."""
+        fault = self.limits.fault(body)
+        if fault:
+            self.too_large.append(f"{CALLER.get()}: {fault}")
+            return _answer(400, {"error": fault})
         for write in body["writes"]:
             if write.get("permit") is not None and write["permit"] not in self.leases:
                 return _answer(400, {"error": "no such lease"})
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -304,7 +304,11 @@
             if ran >= BROKEN_TASK_S:
                 self.world.rules.failures += 1
                 self._end(name, "error")
-        elif spec["cut"] != "standing" and ran >= self._seconds_needed(name):
+        elif spec["cut"] == "standing":
+            ends = spec.get("realEnds")  # seconds after which a replica ends, as it shouldn't
+            if ends is not None and ran >= ends:
+                self._end(name, "done")
+        elif ran >= self._seconds_needed(name):
             self.world.rules.done.add(name)
             self._end(name, "done")
 
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -23,6 +23,7 @@
         self.asked_cancel: set[str] = set()
         self.answered: dict[str, float] = {}  # job -> when a question was last answered
         self.waits: dict[str, float] = {}  # job -> since when it waits beside room
+        self.gone_since: dict[str, float] = {}  # replica -> since when it isn't on a machine
         self.broken: list[str] = []
 
     def told(
@@ -54,6 +55,8 @@
             self.final_at.setdefault(id, now)
         if stage == "withdrawn":
             self.rules.cancelled.setdefault(id, now)
+        if stage == "done" and self.rules.specs[id]["cut"] == "standing":
+            self.broken.append(f"not_done {id}: a service")
         if stage == "done" and self._done(id) < self.rules.specs[id]["rows"]:
             self.broken.append(f"not_done {id}")
 
@@ -79,6 +82,21 @@
                 self.broken.append(f"waits {id}")
                 self.waits[id] = now
 
+    def down(self, now: float, calm_since: float, limit: float) -> None:
+        """Troubles are over since then: every replica of a service is back after that long."""
+        for id in self.accepted:
+            spec = self.rules.specs[id]
+            if spec["cut"] != "standing" or id in self.asked_cancel:
+                continue
+            for number in range(spec["rows"]):
+                task = f"{id}/{number}"
+                if task in self.rules.places:
+                    self.gone_since.pop(task, None)
+                    continue
+                since = max(calm_since, self.gone_since.setdefault(task, now))
+                if now - since > limit:
+                    self.broken.append(f"down {task}")
+
     def _could_start(self, id: str, world: World, used: dict[str, float]) -> bool:
         spec: dict[str, Any] = self.rules.specs[id]
         placed = {t for t in self.rules.places if t.rpartition("/")[0] == id}
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,406 @@
+"""Services: replicas run until their job is cancelled, and come back wherever they fall."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import trio
+
+from pitchtally import policy
+from pitchtally.control.estimates import Estimates
+from pitchtally.control.holdings import most_in_zone
+from pitchtally.control.job_records import OPEN, Record, TaskRange
+from pitchtally.control.jobs import Job
+from pitchtally.control.service_moves import Move, moved_caps, zone_limits
+from pitchtally.control.submission import Invalid, check_runnable, parse_job
+from pitchtally.settings import Team
+from pitchtally.wire import MachineType
+
+from .meetings import (
+    CANCELLED,
+    all_away_longer_than_a_lease,
+    commands_held_and_the_machine_goes_on,
+    late_writes,
+    leader,
+    leader_cut_from_state_and_peers,
+    leader_ends_and_machines_cant_be_reached,
+    old_reports_after_newer_ones,
+    restart,
+    slow_state_then_refusal_then_outage,
+    ten_leaders_also_in_an_outage,
+    users,
+    workers_mute,
+    zone_cut_off_longer_than_a_lease,
+)
+from .sim import TIMES, Sim, job, run, sent, settings
+
+Trouble = Callable[[Sim], Awaitable[None]]
+
+# Once troubles are over: a lease that has to end, a takeover, and a few reports.
+BACK_WITHIN_S = TIMES.lease_s * 2 + TIMES.report_s * 5
+
+
+def service(number: int, **more: Any) -> dict[str, Any]:
+    found = {"cut": "standing", "rank": "production", "rows": 3, "vcpus": 1.0, "ripenS": 0.0}
+    return job(number, **{**found, **more})
+
+
+SERVICES = [
+    service(1, rows=4),
+    service(2, rows=3, spread=True),
+    service(7, rows=2),
+    service(10, rows=1),
+    service(4, rows=2, oneZone=True, vcpus=2.0),
+    service(5, rows=2, crew="tight", gleaning=False),
+]
+WORK = [
+    job(6, rows=40, vcpus=1.0, rank="idle", realS=5.0, ripenS=5.0),
+    job(8, cut="gang", rows=3, vcpus=2.0, rank="urgent"),
+]
+
+
+def up(sim: Sim, id: str) -> int:
+    """Replicas of a service that are on machines."""
+    return sum(1 for task in sim.world.rules.places if task.startswith(f"{id}/"))
+
+
+async def until(check: Callable[[], bool], seconds: float) -> None:
+    with trio.fail_after(seconds):
+        while not check():
+            await trio.sleep(0.1)
+
+
+async def all_up(sim: Sim, *specs: dict[str, Any], within: float) -> None:
+    await until(lambda: all(up(sim, s["ref"]) == s["rows"] for s in specs), within)
+
+
+# --- what is taken ---------------------------------------------------------------------------
+
+TYPES = {"big": MachineType("big", cpus=8.0, gpus=2.0, memory=64.0, zones=["a"])}
+
+
+@pytest.mark.parametrize(
+    ("more", "status"),
+    [
+        ({"rows": 6}, None),
+        ({"rows": 7}, 422),  # an array of seven would go on task by task
+        ({"rows": 7, "cut": "sweep"}, None),
+        ({"rows": 2, "cards": 2.0}, 422),
+        ({"rows": 1, "cards": 1.0}, None),
+        ({"rows": 1, "vcpus": 9.0}, 422),
+        ({"rows": 100_000, "crew": "free"}, None),
+    ],
+)
+def test_all_replicas_together_have_to_be_within_the_teams_limit(
+    more: dict[str, Any], status: int | None
+) -> None:
+    config = settings("n0", teams=[Team("tight", cpus_max=6.0, gpus_max=3.0), Team("free")])
+    spec = parse_job(json.dumps(sent(service(1, **{"crew": "tight", **more}))).encode())
+    try:
+        check_runnable(spec, config, TYPES)
+    except Invalid as error:
+        assert error.status == status
+    else:
+        assert status is None
+
+
+@pytest.mark.parametrize("missing", ["ripenS", "rows", "spread", "crew"])
+def test_a_field_that_is_missing_is_told_as_for_any_job(missing: str) -> None:
+    body = {k: v for k, v in sent(service(1)).items() if k != missing}
+    with pytest.raises(Invalid) as found:
+        parse_job(json.dumps(body).encode())
+    assert found.value.status == 400
+
+
+# --- how they run -----------------------------------------------------------------------------
+
+
+def test_a_service_runs_until_it_is_cancelled(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def day(sim: Sim) -> None:
+        spec = service(1)
+        await sim.submit(spec)
+        assert await sim.poll(spec["ref"], 0) == "pending"
+        await all_up(sim, spec, within=5.0)
+        await trio.sleep(120)
+        for node in range(3):
+            answer = await sim.call(node, "GET", f"/api/jobs/{spec['ref']}")
+            view = json.loads(answer.body)
+            assert (view["stage"], view["done"], view["running"]) == ("running", 0, 3)
+        writes = [key for _, key, _ in sim.state.log if key == f"pt/jobs/{spec['ref']}"]
+        assert len(writes) <= 2  # its acceptance, and at most one assignment
+        await sim.cancel(spec["ref"])
+        await trio.sleep(TIMES.cancel_s + 1)
+        assert not up(sim, spec["ref"])
+        assert sim.world.rules.started == 3
+        sim.check()
+
+    run(monkeypatch, day)
+
+
+def test_a_replica_that_ends_runs_again_and_nothing_is_done(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its end is no result; where replicas end at once again and again, starts get rarer."""
+
+    async def day(sim: Sim) -> None:
+        steady = service(1, realEnds=20.0)
+        hasty = service(2, realEnds=0.2)
+        await sim.submit(steady)
+        await sim.submit(hasty)
+        await trio.sleep(200)
+        starts = sim.world.rules.starts_of
+        assert starts(steady["ref"]) >= 3 * 6
+        assert starts(hasty["ref"]) <= 3 * 40
+        for id in (steady["ref"], hasty["ref"]):
+            assert await sim.poll(id, 0) in ("running", "pending")
+            await sim.cancel(id)
+        sim.check()
+
+    run(monkeypatch, day)
+
+
+def test_services_take_room_from_lower_ranks_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Full machines: idle work makes room at once, another service doesn't."""
+
+    async def day(sim: Sim) -> None:
+        sim.world.capacity = len(sim.world.workers)
+        first = service(1, rows=16, vcpus=1.0)
+        await sim.submit(first)
+        await all_up(sim, first, within=10.0)
+        idle = job(2, rows=60, vcpus=1.0, rank="idle", realS=50.0, ripenS=50.0)
+        await sim.submit(idle)
+        await until(lambda: len(sim.world.rules.places) == 32, 20)
+        second = service(3, rows=8, vcpus=1.0)
+        await sim.submit(second)
+        await all_up(sim, first, second, within=8.0)
+        third = service(4, rows=10, vcpus=1.0)
+        await sim.submit(third)
+        await trio.sleep(20)
+        assert (up(sim, first["ref"]), up(sim, second["ref"])) == (16, 8)
+        assert up(sim, third["ref"]) <= 8
+        sim.check()
+
+    run(monkeypatch, day)
+
+
+def test_machines_that_hold_replicas_are_not_returned(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def day(sim: Sim) -> None:
+        spec = service(1, rows=4, spread=True)
+        await sim.submit(spec)
+        await all_up(sim, spec, within=5.0)
+        await trio.sleep(120)
+        assert sim.world.released  # those that held nothing
+        assert sim.world.rules.started == 4
+
+    run(monkeypatch, day)
+
+
+# --- what takes a replica's machine -----------------------------------------------------------
+
+
+def machine_of(sim: Sim, id: str) -> Any:
+    name = next(w for t, (w, _) in sim.world.rules.places.items() if t.startswith(f"{id}/"))
+    return sim.world.workers[name]
+
+
+async def released(sim: Sim, worker: Any) -> None:
+    sim.world.workers.pop(worker.name).vanish()
+
+
+async def noticed(sim: Sim, worker: Any) -> None:
+    worker.notice_at = trio.current_time() + 6.0
+    worker.changed.set()
+    await trio.sleep(6.0)
+    if worker.name in sim.world.workers:  # not returned before that
+        sim.world.workers.pop(worker.name).vanish()
+
+
+async def restarted(sim: Sim, worker: Any) -> None:
+    worker.restart()
+
+
+async def hung(sim: Sim, worker: Any) -> None:
+    await worker.hang(TIMES.lease_s * 1.5)
+
+
+async def cut_off(sim: Sim, worker: Any) -> None:
+    sim.network.cut(worker.name, "*")
+    sim.network.cut("*", worker.name)
+    await trio.sleep(TIMES.lease_s * 2)
+    sim.network.heal()
+
+
+@pytest.mark.parametrize("loss", [released, noticed, restarted, hung, cut_off])
+@pytest.mark.parametrize("more", [{}, {"spread": True}, {"oneZone": True}], ids=str)
+def test_replicas_of_a_lost_machine_run_elsewhere(
+    loss: Callable[[Sim, Any], Awaitable[None]],
+    more: dict[str, Any],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def day(sim: Sim) -> None:
+        spec = service(1, rows=4, **more)
+        await sim.submit(spec)
+        await all_up(sim, spec, within=6.0)
+        worker = machine_of(sim, spec["ref"])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(loss, sim, worker)
+        await all_up(sim, spec, within=BACK_WITHIN_S)
+        sim.check()
+
+    run(monkeypatch, day)
+
+
+def test_a_service_that_can_t_be_whole_in_its_part_starts_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its other replicas never end: the one that lacks room would have waited for ever."""
+
+    async def day(sim: Sim) -> None:
+        for zone in ("a", "b"):
+            sim.world.add("big", zone)
+        sim.world.capacity = 6
+        await trio.sleep(3)
+        spec = service(1, rows=4, vcpus=4.0, spread=True)
+        await sim.submit(spec)
+        await all_up(sim, spec, within=8.0)
+        part = int(machine_of(sim, spec["ref"]).name[2:]) % 3
+        other = next(w for w in sim.world.workers.values() if int(w.name[2:]) % 3 == part)
+        sim.world.capacity = 5
+        sim.world.workers.pop(other.name).vanish()
+        await all_up(sim, spec, within=120.0)
+        sim.check()
+
+    run(monkeypatch, day)
+
+
+# --- moves of single replicas -----------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_caps_of_moved_replicas_never_exceed_a_zone_s_share(seed: int) -> None:
+    """Whatever is lost and moved, and in whichever order, caps leave no zone over its half."""
+
+    async def main() -> None:
+        move_at_random(seed)
+
+    trio.run(main)
+
+
+def move_at_random(seed: int) -> None:
+    luck = random.Random(seed)
+    spec = parse_job(
+        json.dumps(sent(service(1, rows=luck.choice([2, 3, 5, 8]), spread=True))).encode()
+    )
+    most = most_in_zone(spec)
+    record = Record(OPEN, spec.tasks, spec, ranges=[TaskRange(0, spec.tasks, 0)])
+    held = {part: Counter[str]() for part in range(3)}
+    for zone in ("a", "b", "a", "b", "a", "b", "a", "b")[: spec.tasks]:
+        held[0][zone] += 1
+    for _ in range(30):
+        part = luck.choice([p for p in held if held[p].total()])
+        lost = luck.choice(sorted(held[part].elements()))
+        held[part][lost] -= 1
+        to = luck.randrange(3)
+        found = Job("wk-1", record, 1, 8)
+        placed = {zone: held[part][zone] for zone in ("a", "b", "c")}
+        left = zone_limits(found, placed, part)
+        zone = luck.choice([z for z, n in left.items() if n > 0])
+        record.caps = moved_caps(found, placed, part, Move(to, {zone: 1}))
+        held[to][zone] += 1
+        for each in placed:
+            caps = [n for _, z, n in record.caps if z == each]
+            assert sum(caps) <= most
+            assert all(n <= cap_of(record, p, each) for p in held for n in [held[p][each]])
+
+
+def cap_of(record: Record, part: int, zone: str) -> int:
+    return sum(n for p, z, n in record.caps if (p, z) == (part, zone))
+
+
+# --- troubles ---------------------------------------------------------------------------------
+
+
+async def service_cancelled_as_the_leader_ends(sim: Sim) -> None:
+    for id in CANCELLED:
+        sim.nursery.start_soon(sim.cancel, id)
+    await trio.sleep(0.1)
+    await restart(sim, leader(sim))
+    await trio.sleep(3)
+
+
+async def machines_fail_every_task(sim: Sim) -> None:
+    sick = list(sim.world.workers.values())[:2]
+    for worker in sick:
+        worker.sick = True
+        worker.restart()
+    await trio.sleep(TIMES.lease_s * 3)
+    for worker in sick:
+        worker.sick = False
+
+
+TROUBLES: list[Trouble] = [
+    all_away_longer_than_a_lease,
+    commands_held_and_the_machine_goes_on,
+    late_writes,
+    leader_cut_from_state_and_peers,
+    leader_ends_and_machines_cant_be_reached,
+    machines_fail_every_task,
+    old_reports_after_newer_ones,
+    service_cancelled_as_the_leader_ends,
+    slow_state_then_refusal_then_outage,
+    ten_leaders_also_in_an_outage,
+    workers_mute,
+    zone_cut_off_longer_than_a_lease,
+]
+
+
+async def play_services(sim: Sim, trouble: Trouble, *, bound: float) -> None:
+    """Services beside other work, a trouble, and the calm in which all must be up again."""
+    for spec in [*SERVICES, *WORK]:
+        sim.nursery.start_soon(sim.submit, spec)
+    sim.nursery.start_soon(users, sim)
+    await trio.sleep(8)
+    await trouble(sim)
+    sim.state.refuses.clear()
+    sim.state.down = False
+    sim.network.heal()
+    for name in sorted(sim.network.dead):
+        sim.start(name)
+    calm = trio.current_time()
+    for id in CANCELLED:
+        if id not in sim.oracle.asked_cancel:
+            sim.nursery.start_soon(sim.cancel, id)
+    while trio.current_time() - calm < 110:
+        await trio.sleep(0.5)
+        now = trio.current_time()
+        sim.oracle.down(now, calm, bound)
+        sim.oracle.idle(now, sim.world)
+        sim.oracle.silent(now, calm)
+        sim.check()
+    assert all(sim.final.get(spec["ref"]) == "done" for spec in WORK)
+    assert not any(up(sim, id) for id in CANCELLED)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda t: t.__name__)
+def test_services_are_up_again_after_troubles(
+    trouble: Trouble, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def day(sim: Sim) -> None:
+        await play_services(sim, trouble, bound=BACK_WITHIN_S)
+
+    run(monkeypatch, day, seed)
+
+
+def test_the_length_of_a_service_s_replicas_is_never_nothing() -> None:
+    """`ripenS` 0 made a service smaller than any task, in the queues and for hiring."""
+    spec = parse_job(json.dumps(sent(service(1))).encode())
+    figures = policy.parse("", settings("n0"))
+    estimates = Estimates(figures.start_within)
+    estimates.learn(spec, 0.5)  # nothing is learnt from a replica that ended
+    assert estimates.task(spec) == figures.start_within
