--- /dev/null
+++ b/tests/test_formats.py
@@ -0,0 +1,376 @@
+"""Stored formats and the gate, as tables: old and new forms, read in both directions."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from pitchtally import policy
+from pitchtally.control import job_records, messages
+from pitchtally.control.bits import Bits
+from pitchtally.control.job_records import OPEN, Record, TaskRange
+from pitchtally.control.members import Node
+from pitchtally.control.service import Controller
+from pitchtally.control.submission import parse_job
+from pitchtally.formats import finished, fleet_layout, legacy, pieces
+from pitchtally.formats.gate import FIRST_FORMAT, FORMAT, KEY, all_read
+from pitchtally.settings import NextStateLimits, StateLimits
+from pitchtally.store import Write
+
+from .production import Production
+from .sim import job, sent, settings
+
+STATE = StateLimits(
+    rps=300, write_rps=100, value_kb=2, txn_ops=16, next=NextStateLimits(value_kb=1, txn_ops=4)
+)
+LEGACY_CHUNK = legacy.chunk_tasks(2)
+
+# --- the gate ---------------------------------------------------------------------------------
+
+NEW, OLD = Node("a1", reads=FORMAT), Node("a1")
+MEMBERS = ["n0", "n1"]
+GATE: list[tuple[dict[str, Node], dict[str, str], bool]] = [
+    ({"n0": NEW, "n1": NEW}, {"n0": "a1", "n1": "a1"}, True),
+    ({"n0": NEW, "n1": OLD}, {"n0": "a1", "n1": "a1"}, False),
+    ({"n0": NEW}, {"n0": "a1", "n1": "a1"}, False),  # one is not alive just now
+    ({"n0": NEW, "n1": NEW}, {"n0": "a1"}, False),  # its process may have ended since
+    ({"n0": NEW, "n1": NEW}, {"n0": "a1", "n1": "b2"}, False),  # a predecessor's record
+    ({"n0": NEW, "n1": Node("b2")}, {"n0": "a1", "n1": "b2"}, False),  # back as an old one
+    ({"n0": NEW, "n1": NEW, "n2": OLD}, {"n0": "a1", "n1": "a1"}, True),  # not configured
+    ({"n0": NEW, "n1": Node("a1", reads=FORMAT + 1)}, {"n0": "a1", "n1": "a1"}, True),
+]
+
+
+@pytest.mark.parametrize(("records", "answering", "found"), GATE)
+def test_gate_opens_once_every_configured_member_reads_the_format(
+    records: dict[str, Node], answering: dict[str, str], found: bool
+) -> None:
+    assert all_read(MEMBERS, records, answering) is found
+
+
+# --- records of 0.5.1, and what it makes of ours ----------------------------------------------
+
+# As 0.5.1 stores and sends them: recorded, not made by the code under test.
+SPEC = (
+    '{"ref":"wk-000001","vintage":"c","crew":"free","cut":"sweep","rank":"standard","rows":6,'
+    '"vcpus":2.0,"cards":0.0,"memGb":1.0,"cask":"i","pullGb":0.1,"gleaning":true,"ripenS":4.0}'
+)
+RECORDS = {
+    "nodes/n0": '{"incarnation":"00f1","deaf":false}',
+    "parts/0": '{"node":"n0","incarnation":"00f1"}',
+    "jobs/wk-000001": '{"stage":"open","tasks":6,"spec":' + SPEC + ',"at":1.5,'
+    '"ranges":[[0,4,0],[4,6,1]],"finished":"BQ=="}',
+    "jobs/wk-000002": '{"stage":"done","tasks":6}',
+    "jobs/wk-000003": '{"stage":"withdrawn","tasks":6,"count":2}',
+    "fleet/0/3": '{"i-000360":["big","a",false,"10.1.0.1:9000"]}',
+    "shares": '{"tight":[[4.0,0.0],[2.0,0.0],[0.0,0.0]]}',
+    "types": '[{"sku":"big","vcpus":8.0,"memGb":32.0,"cards":0.0,"localGb":0.0,"fetchGbPerS":1.0,'
+    '"rate":1.0,"spotPrice":0.3,"readyS":3.0,"parcels":["a","b"]}]',
+}
+
+
+def _learn(controller: Any, writes: Mapping[str, str | bytes]) -> None:
+    for number, (key, value) in enumerate(writes.items()):
+        data = value if isinstance(value, bytes) else value.encode()
+        controller.replica.learn(f"pt/{key}", data, 10 + number)
+
+
+def _check_what_is_known(controller: Any) -> None:
+    store = controller.job_store
+    found = store.jobs["wk-000001"]
+    assert found.spec.tasks == 6 and found.record.ranges == [(0, 4, 0), (4, 6, 1)]
+    assert [t for t in range(6) if t in found.finished] == [0, 2]
+    assert store.jobs["wk-000002"].record.stage == "done"
+    assert store.cancelled == [(14, "wk-000003")]
+    assert controller.members.alive["n0"].incarnation == "00f1"
+    assert controller.members.owner(0) == "n0"
+    assert "i-000360" in controller.workers.records.of(0)
+    assert controller.split.teams.share(1, "tight") == (2.0, float("inf"))
+    assert controller.fleet.types["big"].spot_price == 0.3
+
+
+def _run(body: Any) -> None:
+    async def main() -> None:
+        body()
+
+    trio.run(main, clock=trio.testing.MockClock())
+
+
+def _controller(state: StateLimits = STATE, *, gate_open: bool = False) -> Controller:
+    config = settings("n1", state=state)
+    found = Controller(config, policy.parse("", config))
+    if gate_open:
+        found.replica.own([Write(KEY, found.gate.record())], 9)
+    return found
+
+
+def test_records_of_the_version_in_production_are_read() -> None:
+    def body() -> None:
+        controller = _controller()
+        _learn(controller, RECORDS)
+        _check_what_is_known(controller)
+        assert controller.members.alive["n0"].reads == FIRST_FORMAT
+
+    _run(body)
+
+
+def test_what_is_written_while_the_gate_is_closed_is_read_in_production(
+    production: Production,
+) -> None:
+    """Each record goes through the new version's types, is encoded by it, and read by 0.5.1."""
+
+    def body() -> None:
+        new = _controller()
+        _learn(new, RECORDS)
+        job_ = new.job_store.jobs["wk-000001"]
+        spec = job_.spec
+        first, record = new.layout.lay_out_new("wk-000004", Record(OPEN, 6, spec, 2.5))
+        assert not first
+        written: dict[str, str | bytes] = {
+            **RECORDS,
+            "nodes/n1": msgspec.json.encode(new.members._own_node()),
+            "jobs/wk-000001": new.split._record_with(job_),
+            "jobs/wk-000004": job_records.encode(record),
+            "shares": new.split.teams.shares.change("tight", [(4.0, 0.0), (2.0, 0.0), (0, 0)]).value
+            or b"",
+            "types": new.fleet.machine_types.lay_out(list(new.fleet.types.values()))[0].value
+            or b"",
+        }
+        assert new.workers.records.chunk_of("i-000360") == 360 // 3 // 10
+        old = production.controller(settings("n2", state=STATE), "")
+        _learn(old, {key: written[key] for key in RECORDS})
+        _learn(old, {key: written[key] for key in written if key not in RECORDS})
+        _check_what_is_known(old)
+        assert old.job_store.jobs["wk-000004"].record.at == 2.5
+        assert old.members.alive["n1"].incarnation == new.members.incarnation
+
+    _run(body)
+
+
+def test_messages_are_read_in_both_directions(production: Production) -> None:
+    theirs = production.module("control.messages")
+    spec = parse_job(json.dumps(sent(job(1))).encode())
+    told = messages.Heartbeat(
+        "n0",
+        "i",
+        3,
+        9,
+        0.1,
+        0.2,
+        [messages.Cancellation("wk-000001", 7, 6, 2)],
+        [messages.PartStatus(0, 5, True, 1.0, 1.0, [], use={"tight": (1.0, 0.0)})],
+        ["i-000001"],
+        [],
+        [(0, 5)],
+    )
+    for message in (
+        told,
+        messages.Cancelled(messages.Cancellation("wk-000001", 7, 6, 2)),
+        messages.Forward("GET", "/api/jobs/wk-000001", b""),
+        messages.Forwarded(200, b"{}", "1"),
+        messages.SplitRequest(spec),
+        messages.SplitAnswer([TaskRange(0, 6, 1)], "a"),
+        messages.Ack(),
+    ):
+        there = theirs.decode(messages.encode(message))
+        assert type(there).__name__ == type(message).__name__
+        assert messages.decode(theirs.encode(there)) == message
+
+
+def test_the_version_in_production_moves_machines_before_it_empties_a_chunk(
+    production: Production,
+) -> None:
+    """It reads chunks of any width, and its own come first in the order of its writes."""
+
+    def body() -> None:
+        old = production.controller(settings("n2", state=STATE), "")
+        width = fleet_layout.machines_per_chunk(1024)
+        place = 123
+        theirs = old.workers.records.chunk_of(f"i-{place * 3:06d}")
+        ours = fleet_layout.chunk_of(place, width)
+        assert sorted([ours, theirs]) == [theirs, ours]
+        _learn(old, {f"fleet/0/{ours}": RECORDS["fleet/0/3"]})
+        assert "i-000360" in old.workers.records.of(0)
+
+    _run(body)
+
+
+# --- finished tasks ----------------------------------------------------------------------------
+
+
+def _wide(tasks: int, **more: Any) -> str:
+    spec = {**json.loads(SPEC), "rows": tasks}
+    return json.dumps({"stage": "open", "tasks": tasks, "spec": spec, **more})
+
+
+@pytest.mark.parametrize("bits_first", [True, False])
+@pytest.mark.parametrize("next_value_kb", [2, 1, 0.5])
+def test_chunks_of_the_old_layout_are_read_at_their_places(
+    bits_first: bool, next_value_kb: float
+) -> None:
+    """A reader's own limits told it where a chunk begins: tasks counted as done that weren't."""
+
+    def body() -> None:
+        state = StateLimits(value_kb=2, next=NextStateLimits(value_kb=next_value_kb))
+        controller = _controller(state)
+        bits = Bits(8)
+        bits.add(1)
+        chunk = {"fin/wk-000001/2": json.dumps(bits.text())}
+        record = {"jobs/wk-000001": _wide(100_000)}
+        order = [chunk, record] if bits_first else [record, chunk]
+        for number, each in enumerate(order):
+            for key, value in each.items():
+                controller.replica.learn(f"pt/{key}", value.encode(), 20 + number)
+        found = controller.job_store.jobs["wk-000001"]
+        assert [t for t in range(100_000) if t in found.finished] == [2 * LEGACY_CHUNK + 1]
+
+    _run(body)
+
+
+def test_a_settings_file_of_after_the_upgrade_reads_old_chunks_too() -> None:
+    """The gate's record keeps the width: by then `value_kb` itself is the lower limit."""
+
+    def body() -> None:
+        upgraded = _controller()
+        later = _controller(StateLimits(value_kb=1, txn_ops=4))
+        later.replica.own([Write(KEY, upgraded.gate.record())], 9)
+        bits = Bits(8)
+        bits.add(1)
+        _learn(later, {"fin/wk-000001/1": json.dumps(bits.text())})
+        _learn(later, {"jobs/wk-000001": _wide(100_000)})
+        assert LEGACY_CHUNK + 1 in later.job_store.jobs["wk-000001"].finished
+
+    _run(body)
+
+
+CONVERTED = [600, 1536, 1537, 4000, LEGACY_CHUNK, LEGACY_CHUNK + 1, 20_000, 100_000]
+
+
+@pytest.mark.parametrize("tasks", CONVERTED)
+@pytest.mark.parametrize("steps", [0, 1, 3, 1000], ids=lambda n: f"{n} writes")
+def test_conversion_can_end_at_any_step(tasks: int, steps: int) -> None:
+    """Another node reads the same whichever writes were made, and goes on from there."""
+
+    def body() -> None:
+        first = _controller(gate_open=True)
+        done = [0, 1, tasks // 2, tasks - 1]
+        bits = Bits(tasks)
+        for task in done:
+            bits.add(task)
+        stored: dict[str, str | bytes] = {}
+        if tasks > LEGACY_CHUNK:
+            for number in {t // LEGACY_CHUNK for t in done}:
+                text = bits.text(number * LEGACY_CHUNK // 8, LEGACY_CHUNK // 8)
+                stored[f"fin/wk-000001/{number}"] = json.dumps(text)
+            stored["jobs/wk-000001"] = _wide(tasks)
+        else:
+            stored["jobs/wk-000001"] = _wide(tasks, finished=bits.text())
+        _learn(first, stored)
+        for most in (steps, 1000):
+            job_ = first.job_store.jobs["wk-000001"]
+            if not first.layout.needs_conversion(job_):
+                break
+            before, record = first.layout.convert(job_)
+            value = first.layout.encode_record(job_, record)
+            writes = [*before, Write("pt/jobs/wk-000001", value)][:most]
+            assert all(len(w.value or b"") <= 1024 for w in writes)
+            for write in writes:
+                stored[write.key.removeprefix("pt/")] = write.value or b""
+            first = _controller(gate_open=True)
+            _learn(first, stored)
+            found = first.job_store.jobs["wk-000001"]
+            assert [t for t in range(tasks) if t in found.finished] == sorted(set(done))
+        job_ = first.job_store.jobs["wk-000001"]
+        assert not first.layout.needs_conversion(job_)
+        assert bool(job_.chunk_tasks) == (tasks > finished.inline_tasks(1024))
+
+    _run(body)
+
+
+def test_keys_of_jobs_that_are_over_are_removed_a_few_at_a_time() -> None:
+    def body() -> None:
+        controller = _controller(gate_open=True)
+        _learn(controller, {f"done/wk-000001/{n * 3072}": '"AA=="' for n in range(6)})
+        _learn(controller, {"fin/wk-000002/0": '"AA=="', "fin/wk-000003/0": '"AA=="'})
+        _learn(
+            controller,
+            {"jobs/wk-000001": _wide(20_000), "jobs/wk-000002": RECORDS["jobs/wk-000002"]},
+        )
+        assert controller.cleanup.left_over(4) == ["pt/fin/wk-000002/0"]
+        controller.replica.learn("pt/jobs/wk-000001", b'{"stage":"done","tasks":20000}', 90)
+        assert len(controller.cleanup.left_over(4)) == 4
+        assert len(controller.cleanup.left_over(100)) == 7  # of wk-000003 nothing is known
+
+    _run(body)
+
+
+# --- texts in pieces ----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("value_bytes", [64, 512, 2048])
+@pytest.mark.parametrize("text", ["", "a" * 5000, '"\\' * 900, "กข" * 700, "\x00\n" * 300])
+def test_texts_come_back_from_their_pieces(text: str, value_bytes: int) -> None:
+    ref, values = pieces.cut(text, value_bytes)
+    assert all(len(value) <= value_bytes for value in values)
+    found = {(ref.digest, n): msgspec.json.decode(v, type=str) for n, v in enumerate(values)}
+    assert pieces.join(ref, found) == text
+    other, more = pieces.cut(text + "b", value_bytes)
+    found |= {(other.digest, n): msgspec.json.decode(v, type=str) for n, v in enumerate(more)}
+    assert pieces.join(ref, found) == text
+    if values:
+        del found[(ref.digest, 0)]
+        assert pieces.join(ref, found) is None
+
+
+# --- team shares --------------------------------------------------------------------------------
+
+
+def test_a_late_write_of_the_old_shares_changes_nothing_for_a_team_with_its_own() -> None:
+    """It would raise a share that nobody lowers any more: more than the team's limit."""
+
+    def body() -> None:
+        controller = _controller(gate_open=True)
+        shares = controller.split.teams.shares
+        _learn(controller, {"shares": '{"tight":[[2.0,0.0],[2.0,0.0],[2.0,0.0]]}'})
+        change = shares.change("tight", [(1.0, 0.0), (3.0, 0.0), (2.0, 0.0)])
+        assert set(shares.versions("tight")) == {"pt/shares", change.key}
+        controller.replica.own([change], 30)
+        late = b'{"tight":[[0.0,0.0],[2.0,0.0],[4.0,0.0]],"free":[[1,1],[1,1],[1,1]]}'
+        controller.replica.learn("pt/shares", late, 40)
+        assert shares.of("tight") == [(1.0, 0.0), (3.0, 0.0), (2.0, 0.0)]
+        assert shares.of("free") == [(1.0, 1.0)] * 3
+
+    _run(body)
+
+
+# --- announced limits ----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("announced", "kept"),
+    [
+        (None, StateLimits(100, 20, 8, 8)),
+        (NextStateLimits(), StateLimits(100, 20, 8, 8)),
+        (NextStateLimits(value_kb=2), StateLimits(100, 20, 2, 8)),
+        (NextStateLimits(rps=50, write_rps=5, value_kb=2, txn_ops=4), StateLimits(50, 5, 2, 4)),
+        (NextStateLimits(rps=500, txn_ops=80), StateLimits(100, 20, 8, 8)),  # above today's
+    ],
+)
+def test_the_smaller_of_both_limits_is_kept(
+    announced: NextStateLimits | None, kept: StateLimits
+) -> None:
+    def body() -> None:
+        state = StateLimits(100, 20, 8, 8, announced)
+        assert state.to_keep() == kept
+        config = settings("n0", state=state)
+        controller = Controller(config, policy.parse("period = state.write_rps", config))
+        assert controller.store.limits == kept
+        assert controller.policy.period == kept.write_rps
+
+    _run(body)
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,278 @@
+"""The version in production is replaced node by node while both serve: all rules hold."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import trio
+
+from pitchtally.formats.gate import KEY
+from pitchtally.settings import NextStateLimits, StateLimits
+
+from .meetings import CANCELLED, IDS, JOBS, leader, restart, users
+from .production import Production
+from .sim import NODES, TIMES, Sim, job, run
+from .test_services import BACK_WITHIN_S, service
+
+Trouble = Callable[[Sim], Awaitable[None]]
+
+ANNOUNCED = NextStateLimits(write_rps=60, value_kb=0.75, txn_ops=4)
+STATE = StateLimits(rps=300, write_rps=100, value_kb=1, txn_ops=16, next=ANNOUNCED)
+# One of them is kept in its record by 0.5.1, which then is larger than the lower limit, the
+# other in chunks of its own.
+WIDE = [
+    job(21, rows=2400, vcpus=0.02, memGb=0.01, rank="idle", realS=3.0, ripenS=3.0),
+    job(22, rows=3200, vcpus=0.02, memGb=0.01, rank="idle", realS=3.0, ripenS=3.0),
+]
+SERVICES = [
+    service(31, rows=4),
+    service(32, rows=3, spread=True),
+    service(33, crew="tight", rows=2),
+]
+PAUSE_S = 6.0  # between two nodes
+
+
+def lower_limits(sim: Sim) -> None:
+    sim.state.limits.value_bytes = int(1024 * (ANNOUNCED.value_kb or 0.0))
+    sim.state.limits.changes = ANNOUNCED.txn_ops or 0
+
+
+async def roll(sim: Sim, during: Trouble | None = None) -> None:
+    """Replace the nodes one by one; a trouble begins with the second."""
+    async with trio.open_nursery() as nursery:
+        for number, name in enumerate(NODES):
+            sim.kill(name)
+            sim.old.discard(name)
+            if during is not None and number == 1:
+                nursery.start_soon(during, sim)
+            await trio.sleep(1.0)
+            if name in sim.network.dead:
+                sim.start(name)
+            await trio.sleep(PAUSE_S)
+
+
+# --- troubles beside it -----------------------------------------------------------------------
+
+
+async def nothing(sim: Sim) -> None:
+    """Only the upgrade."""
+
+
+async def an_old_one_dies_before_its_turn(sim: Sim) -> None:
+    await trio.sleep(2.0)
+    await restart(sim, "n2")
+    assert "n2" in sim.old or "n2" in sim.network.dead
+
+
+async def leaders_end(sim: Sim) -> None:
+    for _ in range(3):
+        await trio.sleep(3.0)
+        name = leader(sim)
+        if name not in sim.network.dead:
+            await restart(sim, name)
+
+
+async def state_service_out(sim: Sim) -> None:
+    await trio.sleep(2.0)
+    sim.state.stop()
+    await trio.sleep(TIMES.lease_s)
+    sim.state.resume()
+
+
+async def state_service_slow(sim: Sim) -> None:
+    for name in NODES:
+        sim.network.slow[("state", name)] = 0.4
+        sim.network.slow[(name, "state")] = 0.4
+    await trio.sleep(PAUSE_S * 2)
+    sim.network.slow.clear()
+
+
+async def transactions_carried_out_late(sim: Sim) -> None:
+    sim.network.late_writes = 0.25
+    await trio.sleep(PAUSE_S * 2.5)
+    sim.network.late_writes = 0.0
+
+
+async def messages_of_earlier_processes(sim: Sim) -> None:
+    sim.network.late_reports, sim.network.late_commands = 0.3, 0.3
+    for a in NODES:
+        for b in NODES:
+            if a != b:
+                sim.network.late[(a, b)] = 3.0
+    await trio.sleep(PAUSE_S * 2.5)
+    sim.network.late.clear()
+    sim.network.late_reports = sim.network.late_commands = 0.0
+
+
+async def jobs_cancelled_and_machines_cut(sim: Sim) -> None:
+    for worker in list(sim.world.workers)[::2]:
+        sim.network.cut(worker, "*")
+        sim.network.cut("*", worker)
+    for id in CANCELLED:
+        sim.nursery.start_soon(sim.cancel, id)
+    await trio.sleep(TIMES.lease_s * 0.8)
+    sim.network.cuts.clear()
+
+
+async def a_zone_cut_off(sim: Sim) -> None:
+    for worker in list(sim.world.workers.values()):
+        if worker.zone == "a":
+            for node in NODES[1:]:
+                sim.network.cut(worker.name, node)
+    await trio.sleep(TIMES.lease_s * 1.5)
+    sim.network.cuts.clear()
+
+
+async def a_node_that_only_lacks_its_peers(sim: Sim) -> None:
+    sim.network.cut("n0", "n1")
+    sim.network.cut("n0", "n2")
+    await trio.sleep(PAUSE_S * 2.5)
+    sim.network.cuts.clear()
+
+
+TROUBLES: list[Trouble] = [
+    nothing,
+    an_old_one_dies_before_its_turn,
+    leaders_end,
+    state_service_out,
+    state_service_slow,
+    transactions_carried_out_late,
+    messages_of_earlier_processes,
+    jobs_cancelled_and_machines_cut,
+    a_zone_cut_off,
+    a_node_that_only_lacks_its_peers,
+]
+
+
+async def play_upgrade(sim: Sim, trouble: Trouble, lowered_after: float) -> None:
+    """A day begun by the version in production, the upgrade with a trouble, lower limits."""
+    specs = [*JOBS, *WIDE]
+    for spec in specs:
+        sim.nursery.start_soon(sim.submit, spec)
+    sim.nursery.start_soon(users, sim)
+    await trio.sleep(5.0)
+    assert KEY not in sim.state.items
+    await roll(sim, trouble)
+    sim.state.down = False
+    sim.network.heal()
+    for name in sorted(sim.network.dead):
+        sim.start(name)
+    calm = trio.current_time()
+    await trio.sleep(lowered_after)
+    lower_limits(sim)
+    for spec in SERVICES:
+        sim.nursery.start_soon(sim.submit, spec)
+    for id in CANCELLED:
+        if id not in sim.oracle.asked_cancel:
+            sim.nursery.start_soon(sim.cancel, id)
+    ids = [*IDS, *(spec["ref"] for spec in WIDE)]
+    asked = trio.current_time() + BACK_WITHIN_S
+    while trio.current_time() - calm < 240:
+        await trio.sleep(1.0)
+        now = trio.current_time()
+        sim.oracle.down(now, asked, BACK_WITHIN_S)
+        sim.oracle.silent(now, calm)
+        sim.oracle.idle(now, sim.world)
+        sim.check()
+        if now > asked and all(id in sim.final for id in ids):
+            break
+    assert not [id for id in ids if id not in sim.final]
+    assert KEY in sim.state.items
+    await sim.known([*ids, *(spec["ref"] for spec in SERVICES)], 20)
+    await trio.sleep(TIMES.cancel_s + 1)
+    sim.check()
+    assert not [key for key in sim.state.items if key.startswith(("pt/done/", "pt/fin/"))]
+
+
+@pytest.mark.parametrize("lowered_after", [0.0, 8.0, 40.0])
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda t: t.__name__)
+def test_rules_hold_as_nodes_are_replaced(
+    trouble: Trouble,
+    lowered_after: float,
+    production: Production,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def day(sim: Sim) -> None:
+        await play_upgrade(sim, trouble, lowered_after)
+
+    run(monkeypatch, day, production=production, state=STATE)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_on_random_days_of_an_upgrade(
+    seed: int, production: Production, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Any two troubles at any distance, limits lowered at any moment after the last node."""
+    luck = random.Random(500 + seed)
+    first, second = luck.sample(TROUBLES, 2)
+    apart, lowered_after = luck.uniform(0.0, PAUSE_S), luck.uniform(0.0, 20.0)
+
+    async def later(sim: Sim) -> None:
+        await trio.sleep(apart)
+        await second(sim)
+
+    async def both(sim: Sim) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(first, sim)
+            nursery.start_soon(later, sim)
+
+    async def day(sim: Sim) -> None:
+        await play_upgrade(sim, both, lowered_after)
+
+    run(monkeypatch, day, 500 + seed, production=production, state=STATE)
+
+
+def test_nothing_too_large_is_sent_once_the_gate_is_open(
+    production: Production, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What the old layout had made larger is brought into the new one before it is written."""
+
+    async def day(sim: Sim) -> None:
+        for spec in [*WIDE, *JOBS[:6]]:
+            await sim.submit(spec)
+        await roll(sim)
+        with trio.fail_after(10):
+            while KEY not in sim.state.items:
+                await trio.sleep(0.1)
+        await trio.sleep(10)
+        lower_limits(sim)
+        await sim.finish([spec["ref"] for spec in [*WIDE, *JOBS[:6]]], limit=120)
+        assert sim.state.too_large == []
+
+    run(monkeypatch, day, production=production, state=STATE)
+
+
+def test_a_member_of_the_old_version_keeps_the_gate_closed(
+    production: Production, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Dead or alive: only what a living process of each member has told counts."""
+
+    async def day(sim: Sim) -> None:
+        for name in ("n0", "n1"):
+            sim.kill(name)
+            sim.old.discard(name)
+            await trio.sleep(0.5)
+            sim.start(name)
+            await trio.sleep(PAUSE_S)
+        await trio.sleep(20)
+        assert KEY not in sim.state.items
+        sim.kill("n2")
+        await trio.sleep(20)
+        assert KEY not in sim.state.items
+        sim.start("n2")  # it died before its turn
+        await trio.sleep(20)
+        assert KEY not in sim.state.items
+        sim.kill("n2")
+        sim.old.clear()
+        sim.start("n2")
+        await trio.sleep(10)
+        assert KEY in sim.state.items
+        specs: list[dict[str, Any]] = JOBS[:4]
+        for spec in specs:
+            await sim.submit(spec)
+        await sim.finish([spec["ref"] for spec in specs])
+
+    run(monkeypatch, day, production=production, state=STATE)
