--- a/pitchtally/control/teams.py
+++ b/pitchtally/control/teams.py
@@ -263,14 +263,16 @@
         )
 
     def _startable(self, status: PartStatus, spec: wire.JobSpec, waiting: int) -> int:
-        """How many waiting tasks machines there have room for, by preemption for gangs.
+        """How many waiting tasks machines there have room for, by preemption too.
 
         Share that goes to tasks without room would lie idle there while other parts
-        have room and no share.
+        have room and no share. What the lowest rank holds counts as room: preemption waits
+        for the share, so the share must not wait for preemption.
         """
+        yielding = spec.rank != wire.RANKS[-1]
         return min(
             waiting,
-            self.split.statuses.free_capacity(status, spec, yielding=spec.kind == wire.GANG),
+            self.split.statuses.free_capacity(status, spec, yielding=yielding),
         )
 
     def _short(
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -188,6 +188,31 @@
     run(monkeypatch, day)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_limited_team_s_service_gets_its_share_where_machines_are_full(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its share of the limit stood in other parts, and moved to free room only: it waited for
+    ever, for preemption waited for the share."""
+
+    async def day(sim: Sim) -> None:
+        sim.world.capacity = len(sim.world.workers)
+        earlier = service(3, rows=6, crew="tight")  # gathers all shares in one part
+        await sim.submit(earlier)
+        await all_up(sim, earlier, within=15.0)
+        await sim.submit(job(2, rows=200, vcpus=1.0, rank="idle", realS=90.0, ripenS=90.0))
+        await until(lambda: len(sim.world.rules.places) == 32, 20)
+        await sim.cancel(earlier["ref"])
+        await until(lambda: len(sim.world.rules.places) == 32, 20)
+        specs = [service(number, rows=2, crew="tight") for number in (4, 5, 6)]
+        for spec in specs:
+            await sim.submit(spec)
+        await all_up(sim, *specs, within=15.0)
+        sim.check()
+
+    run(monkeypatch, day, seed)
+
+
 def test_machines_that_hold_replicas_are_not_returned(monkeypatch: pytest.MonkeyPatch) -> None:
     async def day(sim: Sim) -> None:
         spec = service(1, rows=4, spread=True)
