--- a/pitchtally/__init__.py
+++ b/pitchtally/__init__.py
@@ -1,3 +1,3 @@
 """pitchtally: a fair, decentralised cluster scheduler."""
 
-VERSION = "0.5.1"
+VERSION = "0.6.0"
--- a/pitchtally/commands.py
+++ b/pitchtally/commands.py
@@ -9,7 +9,7 @@
 import click
 
 from . import VERSION, cli
-from .settings import SettingsError
+from .settings import NextStateLimits, SettingsError
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -30,14 +30,17 @@
 @click.option("--config", required=True, help="The platform's settings file (TOML).")
 @click.option("--policy", help="Operators' policy file; default deploy/policy.conf, if there.")
 def check(config: str, policy: str | None) -> None:
-    """Check settings and policy, and print every figure of the policy."""
+    """Check settings and policy; print the policy's figures and the store's limits."""
     try:
-        _, figures = cli.read(config, policy)
+        settings, figures = cli.read(config, policy)
     except SettingsError as error:
         click.echo(f"pitchtally: {error}", err=True)
         sys.exit(2)
     for name, value in figures.items():
         click.echo(f"{name} = {value:g}")
+    today, kept = settings.deployment.state, settings.deployment.state_to_keep
+    for name in NextStateLimits.__struct_fields__:
+        click.echo(f"state.{name} = {getattr(kept, name):g} (today {getattr(today, name):g})")
 
 
 _node = click.option(
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,8 +5,10 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
 from pitchtally import policy
+from pitchtally.commands import main
 from pitchtally.settings import SettingsError, load
 
 from .sim import settings
@@ -51,6 +53,37 @@
     assert str(file) in str(caught.value)
 
 
+NEXT = "[deployment.state.next]\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [
+        ("value_kb = 0.0", "state.next.value_kb"),
+        ("txn_ops = -4", "state.next.txn_ops"),
+        ("write_rps = nan", "state.next.write_rps"),
+        ("rps = inf", "state.next.rps"),
+        ('value_kb = "small"', "value_kb"),
+        ("txn_ops = 2.5", "txn_ops"),
+    ],
+)
+def test_bad_announced_limits(tmp_path: Path, text: str, word: str) -> None:
+    file = tmp_path / "s.toml"
+    file.write_text(f"{GOOD}{NEXT}{text}\n")
+    with pytest.raises(SettingsError) as caught:
+        load(file)
+    assert word in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_check_prints_the_limits_that_are_kept(tmp_path: Path) -> None:
+    file = tmp_path / "s.toml"
+    file.write_text(f"{GOOD}{NEXT}value_kb = 2\ntxn_ops = 80\nlater_field = 1\n")
+    found = CliRunner().invoke(main, ["check", "--config", str(file)])
+    assert found.exit_code == 0
+    assert "state.value_kb = 2 (today 8)" in found.output
+    assert "state.txn_ops = 8 (today 8)" in found.output
+
+
 def test_good_settings(tmp_path: Path) -> None:
     file = tmp_path / "s.toml"
     file.write_text(GOOD)
--- /dev/null
+++ b/tests/test_upgrade_processes.py
@@ -0,0 +1,122 @@
+"""The upgrade with real processes on loopback: 0.5.1 from history, replaced one by one."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.__main__ import FIRST, NODES, STATE
+
+from .production import ROOT, Production
+from .sim import job, sent
+
+PATIENCE_S = 60.0
+
+
+def ask(port: int, path: str, body: Any = None) -> tuple[int, Any]:
+    """One request: its status and JSON body; 0 without an answer."""
+    data = None if body is None else json.dumps(body).encode()
+    try:
+        with urllib.request.urlopen(f"http://127.0.0.1:{port}{path}", data, timeout=5) as answer:
+            return answer.status, json.loads(answer.read() or b"{}")
+    except urllib.error.HTTPError as error:
+        return error.code, {}
+    except OSError:
+        return 0, {}
+
+
+def wait_for(what: str, check: Callable[..., bool], *arguments: Any) -> None:
+    end = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end:
+        if check(*arguments):
+            return
+        time.sleep(0.2)
+    raise AssertionError(f"no {what} in {PATIENCE_S:g} s")
+
+
+class Cluster:
+    """Three controllers of either version against the stand-ins."""
+
+    def __init__(self, folder: Path, old: Path):
+        self.folder = folder
+        self.trees = {"old": old, "new": ROOT}
+        self.environment = {**os.environ, "LOG_LEVEL": "error"}
+        self.world = subprocess.Popen([sys.executable, "-m", "standins", str(folder)], cwd=ROOT)
+        self.nodes: list[subprocess.Popen[bytes] | None] = [None] * NODES
+
+    def start(self, node: int, version: str) -> None:
+        settings = str(self.folder / f"node-{node}.toml")
+        command = [sys.executable, "run.py", "--config", settings]
+        self.nodes[node] = subprocess.Popen(command, cwd=self.trees[version], env=self.environment)
+
+    def stop(self, node: int) -> None:
+        process = self.nodes[node]
+        if process is not None:
+            process.kill()
+            process.wait()
+            self.nodes[node] = None
+
+    def stop_all(self) -> None:
+        for node in range(NODES):
+            self.stop(node)
+        self.world.kill()
+        self.world.wait()
+
+    def ready(self, node: int) -> bool:
+        return ask(FIRST + 2 * node, "/ready")[0] == 200
+
+
+@pytest.fixture
+def cluster(production: Production, tmp_path: Path) -> Iterator[Cluster]:
+    found = Cluster(tmp_path, production.folder.parent)
+    try:
+        wait_for("settings", (tmp_path / f"node-{NODES - 1}.toml").exists)
+        yield found
+    finally:
+        found.stop_all()
+
+
+def desk(number: int, **more: Any) -> dict[str, Any]:
+    return sent(job(number, crew="desk", vcpus=1.0, rows=4, ripenS=2.0, **more))
+
+
+def test_processes_are_replaced_while_they_serve(cluster: Cluster) -> None:
+    """Jobs accepted by either version are done; the gate opens with the last node."""
+
+    def is_at(number: int, node: int, stage: str) -> bool:
+        answer = ask(FIRST + 2 * node, f"/api/jobs/wk-{number:06d}")[1]
+        return bool(answer.get("stage") == stage)
+
+    def gate_is_open() -> bool:
+        return ask(STATE, "/store/pt/format")[0] == 200
+
+    def accepted(spec: dict[str, Any], node: int) -> bool:
+        return ask(FIRST + 2 * node, "/api/jobs", spec)[0] in (200, 201)
+
+    for node in range(NODES):
+        cluster.start(node, "old")
+    for node in range(NODES):
+        wait_for(f"node {node}", cluster.ready, node)
+    for node in range(NODES):
+        assert not gate_is_open()
+        wait_for("acceptance", accepted, desk(node + 1), (node + 1) % NODES)
+        cluster.stop(node)
+        cluster.start(node, "new")
+        wait_for(f"node {node}", cluster.ready, node)
+    wait_for("open gate", gate_is_open)
+    for number in (1, 2, 3):
+        wait_for(f"end of job {number}", is_at, number, 0, "done")
+    service = desk(9, cut="standing", rank="production")
+    wait_for("acceptance", accepted, service, 1)
+    wait_for("running service", is_at, 9, 2, "running")
+    assert ask(FIRST, "/api/jobs/wk-000009/cancel", {})[1].get("stage") == "withdrawn"
