The room of cheaper machines is listed once a survey: a report's cost doesn't grow with the part

Cause: Placing._better_room walked a part's machines for each report of an idle machine, and for each waiting job and group otherwise. Now rooms are listed by group once a survey; a job walks a group at most once a survey, and stops once it has found room for all that waits.

--- /dev/null
+++ b/pitchtally/control/cheaper_room.py
@@ -0,0 +1,74 @@
+"""Room that cheaper machines of a part have for a task, so that it leaves dear ones free.
+
+Asked for at each report. The rooms of a part's machines are listed once a survey, by groups
+of like machines; a job then walks a group at most once a survey, and only if one of its
+machines may have room, until it has found room for all that waits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .capacity import fits, times
+from .machines import Group, Machine, Need
+
+
+@dataclass(slots=True)
+class TaskRoom:
+    """How many tasks of a job a group of like machines takes."""
+
+    on_busy: int = 0
+    on_idle: int = 0
+
+    def take(self, count: int) -> None:
+        """So many have been started there."""
+        from_busy = min(count, self.on_busy)
+        self.on_busy -= from_busy
+        self.on_idle = max(0, self.on_idle - (count - from_busy))
+
+
+@dataclass(slots=True)
+class GroupRooms:
+    """What is free on each machine of a group that takes work."""
+
+    busy: list[Need] = field(default_factory=list)
+    idle: list[Need] = field(default_factory=list)
+    largest: Need = (0.0, 0.0, 0.0)  # by resource, of all of them
+
+    def add(self, machine: Machine) -> None:
+        """List a machine."""
+        free = machine.free()
+        (self.busy if machine.placements else self.idle).append(free)
+        a, b, c = self.largest
+        self.largest = (max(a, free[0]), max(b, free[1]), max(c, free[2]))
+
+    def for_tasks(self, need: Need, most: int) -> TaskRoom:
+        """Room for tasks of this need, counted up to `most` of each kind."""
+        if not fits(need, self.largest):
+            return TaskRoom()
+        return TaskRoom(_count(need, self.busy, most), _count(need, self.idle, most))
+
+
+def _count(need: Need, rooms: list[Need], most: int) -> int:
+    found = 0
+    for room in rooms:
+        if fits(need, room):
+            found += times(need, room)
+            if found >= most:
+                break
+    return found
+
+
+def list_rooms(
+    machines: Iterable[Machine], now: float, longest_silence: float
+) -> dict[Group, GroupRooms]:
+    """The rooms of machines that take work and report, by group."""
+    found: dict[Group, GroupRooms] = {}
+    for machine in machines:
+        if machine.reserved is not None and machine.reserved[1] >= now:
+            continue
+        if now - machine.heard_at > longest_silence:
+            continue
+        found.setdefault(machine.group, GroupRooms()).add(machine)
+    return found
--- a/pitchtally/control/holdings.py
+++ b/pitchtally/control/holdings.py
@@ -8,6 +8,7 @@
 from .capacity import (
     RANK,
 )
+from .cheaper_room import GroupRooms, TaskRoom
 from .jobs import Job
 from .machines import Group, Machine, Need, Placement, need_of
 
@@ -77,7 +78,7 @@
         self.bound = 1e9  # seconds from release, see `Order.bound`
         self.aged = False  # has waited too long for its first start, or the next
         self.groups: dict[Group, bool] = {}  # machines that the job allows
-        self.better: dict[Group, int] = {}  # see `_better_room`
+        self.room_in: dict[Group, TaskRoom] = {}  # renewed with each survey
         self.pool = Pool()
         self.placed: dict[int, Placement] = {}
         self.ranges: list[tuple[int, int]] = []
@@ -166,6 +167,7 @@
         ] = {}  # machine_group -> (when, its level)
         self.queues: dict[Group, dict[str, int]] = {}  # like machines -> job -> tasks
         self.machine_groups: dict[Group, MachineGroup] = {}
+        self.rooms: dict[Group, GroupRooms] = {}  # as of the last survey
         self.running: list[int] = [0] * len(wire.RANKS)  # tasks on machines, by rank
         self.ready: set[str] = set()  # gangs over several parts that have their room here
         self.early: list[Placement] = []  # seen on machines before the part settled
--- a/pitchtally/control/order.py
+++ b/pitchtally/control/order.py
@@ -104,7 +104,7 @@
         holding.size = self.size(holding.spec)
         holding.late = self.lateness(job, holding.release)
         holding.bound = self.bound(holding.spec)
-        holding.better.clear()
+        holding.room_in.clear()
         begun = bool(holding.placed) or job.finished.count > 0 or bool(job.local)
         waits_since = holding.since if begun else min(holding.since, holding.release)
         holding.aged = now - waits_since > self.policy.start_within * AGED
--- a/pitchtally/control/placing.py
+++ b/pitchtally/control/placing.py
@@ -14,6 +14,7 @@
     share_of,
     times,
 )
+from .cheaper_room import TaskRoom, list_rooms
 from .component import SchedulerComponent
 from .holdings import Holding, MachineGroup, PartWork
 from .machines import Group, Machine, Need, Placement, need_of
@@ -21,6 +22,12 @@
 log = logging.getLogger("placing")
 
 LEVEL_TOLERANCE = 0.05  # of the least stretch of a queue, relative
+# Shares of a machine's cost for a task below which another is cheaper, or as dear.
+CHEAPER, ALIKE = 0.8, 1.2
+# A machine silent for longer takes no task with its next report, for all that is known.
+LONGEST_SILENCE_REPORTS = 1.5
+# Machines of a group that are asked whether the group is allowed at all.
+SAMPLE = 3
 
 
 class Placing(SchedulerComponent):
@@ -46,6 +53,8 @@
         work.running = [0] * len(wire.RANKS)
         for machine in self.workers.of_part(part):
             self._add_to_group(work, machine, now)
+        usable = (m for group in work.machine_groups.values() for m in group.machines)
+        work.rooms = list_rooms(usable, now, self.report_s * LONGEST_SILENCE_REPORTS)
         self._add_loads(work, part, left, now)
         for group in [g for g in work.queues if g not in work.machine_groups]:
             del work.queues[group]
@@ -272,7 +281,7 @@
         if limit:
             limit = min(limit, self.split.teams.tasks_within_limit(machine.part, spec))
         if limit and not holding.aged:
-            better = self._better_room(work, holding, machine, now)
+            better = self._better_room(work, holding, machine)
             limit = min(limit, holding.pool.count - better)
         if holding.aged:
             limit = min(limit, 1)
@@ -285,8 +294,9 @@
         return limit
 
     def _has_started(self, holding: Holding, machine: Machine, count: int) -> None:
-        for group in holding.better:
-            holding.better[group] = max(0, holding.better[group] - count)
+        room = holding.room_in.get(machine.group)
+        if room is not None:
+            room.take(count)
         if holding.aged:
             holding.aged = False  # it has begun: others' turn
             if machine.reserved and machine.reserved[0] == holding.job.id:
@@ -294,42 +304,46 @@
         if not holding.pool.count:
             machine.reserved = None
 
-    def _better_room(self, work: PartWork, holding: Holding, machine: Machine, now: float) -> int:
+    def _better_room(self, work: PartWork, holding: Holding, machine: Machine) -> int:
         """Tasks of this job that machines of its part with less to lose have room for.
 
         They report within `report_s`, so the tasks wait that long at most, and the
         dear or sought-after machine stays free for others, or goes back.
         """
-        spec, need = holding.spec, holding.need
+        spec = holding.spec
         if self.report_s > self.policy.defer_share * self.split.order.slack(spec):
             return 0  # even one report's wait is dear to this class
-        found = holding.better.get(machine.group)
-        if found is not None and machine.placements:
-            return found
         cost = self.cost(spec, machine)
         room = 0
         for group, machine_group in work.machine_groups.items():
             theirs = self.cost(spec, machine_group.machines[0])
+            cheaper = theirs < cost * CHEAPER
             # Between machines as dear as one another, an idle one is left alone so
             # that it can go back, while busy ones have room.
-            alike = not machine.placements and theirs < cost * 1.2
-            if (theirs >= cost * 0.8 and not alike) or not holding.groups.get(group, True):
+            alike = not machine.placements and theirs < cost * ALIKE
+            if not cheaper and not alike:
                 continue
-            for other in machine_group.machines:
-                if other is machine or not other.usable or other.resting_until >= now:
-                    continue
-                if theirs >= cost * 0.8 and not other.placements:
-                    continue
-                if other.reserved is not None and other.reserved[1] >= now:
-                    continue
-                if now - other.heard_at > self.report_s * 1.5:
-                    continue
-                if fits(need, other.free()) and self.split.parts.machine_ok(holding, other):
-                    room += times(need, other.free())
-        if machine.placements:
-            holding.better[machine.group] = room
+            found = self._room_in(work, holding, group)
+            room += found.on_busy + (found.on_idle if cheaper else 0)
         return room
 
+    def _room_in(self, work: PartWork, holding: Holding, group: Group) -> TaskRoom:
+        """Tasks of a job that a group takes, as of the last survey and its own starts since."""
+        found = holding.room_in.get(group)
+        if found is None:
+            rooms = work.rooms.get(group)
+            if rooms is None or not self._group_ok(work, holding, group):
+                found = TaskRoom()
+            else:
+                found = rooms.for_tasks(holding.need, holding.pool.count)
+            holding.room_in[group] = found
+        return found
+
+    def _group_ok(self, work: PartWork, holding: Holding, group: Group) -> bool:
+        """Whether the job may use a group; machines on which it failed are few."""
+        machines = work.machine_groups[group].machines
+        return any(self.split.parts.machine_ok(holding, each) for each in machines[:SAMPLE])
+
     def cost(self, spec: wire.JobSpec, machine: Machine) -> float:
         """What an hour of one such task takes of a machine, in money."""
         kind = machine.kind
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,13 +7,14 @@
 import sys
 from typing import Any
 
+import msgspec
 import pytest
 import trio
 import trio.testing
 
 from pitchtally import policy, tokens, wire
 from pitchtally.control.capacity import share_of
-from pitchtally.control.job_records import OPEN, Record
+from pitchtally.control.job_records import OPEN, Record, TaskRange, encode
 from pitchtally.control.jobs import Job
 from pitchtally.control.machines import Placement
 from pitchtally.control.members import Owner, part_of
@@ -41,11 +42,13 @@
     return found
 
 
-def _report(number: int, seq: int, token: int, tasks: list[dict[str, Any]]) -> Request:
+def _report(
+    number: int, seq: int, token: int, tasks: list[dict[str, Any]], type: str = "big"
+) -> Request:
     body = {
         "vat": f"i-{number:06d}",
         "address": "10.1.0.1:9000",
-        "press": "big",
+        "press": type,
         "parcel": "a",
         "gleaning": False,
         "shift": 1,
@@ -89,6 +92,44 @@
     trio.run(main, clock=trio.testing.MockClock())
 
 
+DEAR = wire.MachineType("dear", cpus=64.0, memory=256.0, price=9.0, zones=["a"])
+
+
+@pytest.mark.parametrize("cpus", [60.0, 1.0], ids=["no cheaper room", "much cheaper room"])
+def test_work_for_a_report_beside_waiting_jobs_does_not_grow_with_machines(cpus: float) -> None:
+    """Each report walked the part's machines: at 4,086 a controller stood still for seconds."""
+
+    async def work(machines: int) -> int:
+        owner = _owner_of(0, 50)
+        owner.fleet.machine_types.known["dear"] = DEAR
+        for number in range(0, machines * 3, 3):
+            await owner.workers.serve(_report(number, 1, 50, []))
+        dear = machines * 3
+        await owner.workers.serve(_report(dear, 1, 50, [], type="dear"))
+        busy = Job("wk-000009", Record(OPEN, 1000, _spec(9, 10.0)), 1, 10_000)
+        for number, machine in enumerate(owner.workers.machines.values()):
+            machine.recorded = True
+            if machine.type == "big":
+                owner.workers.placements.put(Placement(busy, number, 1, machine))
+        for number in range(1, 6):
+            spec = msgspec.structs.replace(_spec(number, cpus), estimate=600.0)
+            record = Record(OPEN, spec.tasks, spec, ranges=[TaskRange(0, spec.tasks, 0)])
+            owner.replica.learn(f"pt/jobs/{spec.id}", encode(record), 60 + number)
+        owner.split.parts.loaded(0)
+        owner.split.parts.settled(0)
+        owner.split.placing.survey(0)
+        owner.split.placing.allot(0)
+        calls = _calls(owner.workers.serve(_report(dear, 2, 50, [], type="dear")))
+        assert bool(owner.workers.machines[f"i-{dear:06d}"].placements) == (cpus == 60.0)
+        return calls
+
+    async def main() -> None:
+        few, many = await work(100), await work(900)
+        assert 0 < many <= few * 1.1
+
+    trio.run(main, clock=trio.testing.MockClock())
+
+
 def test_sums_of_a_part_are_those_of_its_tasks() -> None:
     """Kept up with each change, they must say what a walk over all tasks would."""
 
