--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import json
 import random
 import sys
+import time
 from typing import Any
 
 import msgspec
@@ -113,7 +114,8 @@
                 owner.workers.placements.put(Placement(busy, number, 1, machine))
         for number in range(1, 6):
             spec = msgspec.structs.replace(_spec(number, cpus), estimate=600.0)
-            record = Record(OPEN, spec.tasks, spec, ranges=[TaskRange(0, spec.tasks, 0)])
+            ranges = [TaskRange(0, spec.tasks, 0)]
+            record = Record(OPEN, spec.tasks, spec, time.time(), ranges)
             owner.replica.learn(f"pt/jobs/{spec.id}", encode(record), 60 + number)
         owner.split.parts.loaded(0)
         owner.split.parts.settled(0)
