--- a/pitchtally/control/preemption.py
+++ b/pitchtally/control/preemption.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -96,7 +97,7 @@
             wanted -= sum(zones.values())
         for step in steps:
             zone = step.machine.zone
-            if len(chosen) >= wanted or zones.get(zone, 0) >= caps.get(zone, wanted):
+            if len(chosen) >= wanted or zones.get(zone, 0) >= caps.get(zone, math.inf):
                 continue
             if not holding.gang and not step.victims:
                 continue
