--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -11,6 +11,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -39,6 +40,15 @@
     """The case could not be set up; nothing is said about the rule."""
 
 
+def _cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    except (OSError, ValueError):
+        ticks = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[11:13]
+        return sum(map(int, ticks)) / os.sysconf("SC_CLK_TCK")
+
+
 def free_port() -> int:
     """Return a port that is free now."""
     with socket.socket() as sock:
@@ -375,8 +385,8 @@
                 measured, last, stopped = process, now, False
                 allowed, used = CPU_BURST_S, 0.0
             try:
-                used = int(Path(f"/proc/{process.pid}/schedstat").read_text().split()[0]) / 1e9
-            except (OSError, ValueError):
+                used = _cpu_seconds(process.pid)
+            except OSError:
                 continue
             allowed = min(allowed + (now - last) * share, used + CPU_BURST_S)
             last = now
@@ -565,6 +575,8 @@
             if controller.process is not None:
                 controller.process.send_signal(signal.SIGCONT)
             controller.kill()
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     # --- users ------------------------------------------------------------------------
 
@@ -714,4 +726,6 @@
             record.close()
         return code
 
+    # A script that is told to end still ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     sys.exit(trio.run(main))
