--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,7 +16,7 @@
 TEAM, LIMIT_CPUS = "pickers", 32.0
 SMALL_JOBS, SMALL_CPUS, SMALL_RUN_S = 4, 8.0, 4.0
 LARGE, LARGE_CPUS, LARGE_RUN_S = "wk-000200", 20.0, 4.0
-BURST_FACTOR = 4  # the site files hold bursts of a class with factors of 3 and 4
+BURST_FACTOR = 4  # the site files hold bursts of a class with factors of 2 to 4
 SERVICE = "wk-000050"
 LEFT_WAITING_S = 90.0  # hunt/LATER.md
 
