review: ports that no outgoing connection can take

Cause: the harness took ports from the range of outgoing connections, so another run could take one between its choice and its use. Now ports below 32000 are taken, each tried first and given once.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -1,6 +1,6 @@
 """Stand-ins and helpers for the cases: machines, cloud, links, users, and controller processes.
 
-Everything listens on loopback addresses with ports that the system chooses. The controllers are
+Everything listens on loopback addresses, on ports that are free. The controllers are
 separate processes, started with the `run` command of the deploy file; the state store is the
 project's own stand-in. All times are seconds of the real clock since the start of the script.
 """
@@ -32,6 +32,10 @@
 HOST = "127.0.0.1"
 CPU_CHECK_S = 0.004
 CPU_BURST_S = 0.05  # processor time that a process may use at once after it was idle
+# Below the ports of outgoing connections, which start at 32768 on Linux: one of these could take a
+# port between its choice here and its use by a process that is started with it.
+PORTS = (10_000, 32_000)
+_given_ports: set[int] = set()
 RESTART_DELAY_S = 5.0  # brief: "back about 5 s after an end"
 ACTIVE = ("waiting", "running", "flushing")
 
@@ -50,10 +54,18 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free now, and that no outgoing connection is given by the system."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 class Record:
