Log the processor time of a pause, and the adoption of tasks after a failover

Change: 'process paused' also has cpu=, the processor seconds since the last check. 'tasks adopted shard= jobs= tasks= took=' follows 'shard reconciled' once the scheduler has the tasks that agents listed, so silence between the two lines points at that step.

--- a/pitchtally/membership/pause_detector.py
+++ b/pitchtally/membership/pause_detector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 
 import trio
 
@@ -21,6 +22,7 @@
         self._check_interval = heartbeat_interval / _CHECKS_PER_HEARTBEAT
         self._max_gap = self._check_interval + call_timeout
         self._checked_at = trio.current_time()
+        self._cpu_s_at_check = time.process_time()
         self._resumed_at = LONG_AGO_S
 
     def resumed_at(self) -> float:
@@ -33,14 +35,21 @@
         """
         now = trio.current_time()
         if now - self._checked_at > self._max_gap:
-            log.info("process paused for=%.1f", now - self._checked_at)
-            self._resumed_at = self._checked_at = now
+            # The processor time tells a process that was not run from one that never yielded.
+            cpu_s = time.process_time() - self._cpu_s_at_check
+            log.info("process paused for=%.1f cpu=%.1f", now - self._checked_at, cpu_s)
+            self._resumed_at = now
+            self._note_check(now)
         return self._resumed_at
 
+    def _note_check(self, now: float) -> None:
+        self._checked_at = now
+        self._cpu_s_at_check = time.process_time()
+
     async def run(self) -> None:
         """Check for pauses periodically, besides the checks made by callers."""
-        self._checked_at = trio.current_time()
+        self._note_check(trio.current_time())
         while True:
             await trio.sleep(self._check_interval)
             self.resumed_at()
-            self._checked_at = trio.current_time()
+            self._note_check(trio.current_time())
--- a/pitchtally/scheduling/shards/shard_states.py
+++ b/pitchtally/scheduling/shards/shard_states.py
@@ -124,12 +124,21 @@
         Tasks that were not reported are therefore pending.
         """
         state = self.states[shard]
+        started_at = trio.current_time()
+        found_tasks = len(state.unattached)
         state.reconciled = True
         state.blocked.clear()
         for job in list(self.job_index.open.values()):
             self.update_allocation(job, shard)
         for id in sorted({placement.job.id for placement in state.unattached}):
             self._attach_unattached(state, id)
+        log.info(
+            "tasks adopted shard=%d jobs=%d tasks=%d took=%.1f",
+            shard,
+            len(state.allocations),
+            found_tasks,
+            trio.current_time() - started_at,
+        )
         self.planning_trigger.set()
 
     def on_job(self, job: Job, old: JobRecord | None) -> None:
