Adopt a running task without rebuilding the pending tasks of its job

Cause: ShardStates._attach called ShardAllocation.rebuild_pending for each task that agents listed after a failover, and that walked all tasks of the job's ranges in the shard: (tasks running) x (tasks of the job), in one call without a yield. The session lease ran out meanwhile, the shard went to the next controller, and that began the same work.

Change: PendingTasks is a sorted list of disjoint ranges, in a module of its own, from which a single task can be removed; adopting a task does only that. rebuild_pending, which each migration still needs, reads the bitmap of finished tasks by runs of equal bytes instead of task by task. Of the tasks that are returned to pending the one with the lowest number now starts first, not the one returned last. Adoption also no longer puts back tasks that a migration in flight has split off.

Why it works: the work of a failover is now one step a listed task, whatever the width of the job.

--- a/pitchtally/jobs/index.py
+++ b/pitchtally/jobs/index.py
@@ -93,6 +93,13 @@
         """
         return not self.open or task in self.finished or task in self.unwritten_tasks
 
+    def finished_tasks(self) -> TaskBitmap:
+        """Return a copy of the finished tasks of an open job, including those not durable yet."""
+        finished = self.finished.copy()
+        for task in self.unwritten_tasks:
+            finished.add(task)
+        return finished
+
     def current_record(self) -> JobRecord:
         """Return the record with all durable progress, for a rewrite of the record."""
         if not self.open or self.chunk_tasks or self.is_open_service:
--- a/pitchtally/jobs/task_bitmap.py
+++ b/pitchtally/jobs/task_bitmap.py
@@ -6,6 +6,21 @@
 from __future__ import annotations
 
 import base64
+import re
+from collections.abc import Iterator
+from typing import NamedTuple
+
+_BITS_PER_BYTE = 8
+_NO_MEMBERS, _ALL_MEMBERS = 0x00, 0xFF
+# Find the end of a run of equal bytes without a step of the interpreter for each.
+_EQUAL_BYTES = {_NO_MEMBERS: re.compile(rb"\x00+"), _ALL_MEMBERS: re.compile(rb"\xff+")}
+
+
+class Gap(NamedTuple):
+    """Consecutive integers that are no members, from `first` up to, but not including, `end`."""
+
+    first: int
+    end: int
 
 
 class TaskBitmap:
@@ -21,6 +36,35 @@
     def __contains__(self, index: int) -> bool:
         return bool(self.data[index >> 3] & (1 << (index & 7)))
 
+    def copy(self) -> TaskBitmap:
+        """Return a copy, whose changes leave this bitmap as it is."""
+        duplicate = TaskBitmap(self.size)
+        duplicate.data = bytearray(self.data)
+        duplicate.count = self.count
+        return duplicate
+
+    def gaps(self, first: int, end: int) -> Iterator[Gap]:
+        """Yield the gaps between members from `first` up to, but not including, `end`."""
+        gap_first: int | None = None
+        index = first
+        while index < end:
+            is_member = index in self
+            if not is_member and gap_first is None:
+                gap_first = index
+            elif is_member and gap_first is not None:
+                yield Gap(gap_first, index)
+                gap_first = None
+            index = self._run_end(index)
+        if gap_first is not None:
+            yield Gap(gap_first, end)
+
+    def _run_end(self, index: int) -> int:
+        """Return an integer above `index` up to which all are members, or none is."""
+        position = index // _BITS_PER_BYTE
+        equal_bytes = _EQUAL_BYTES.get(self.data[position])
+        run = equal_bytes.match(self.data, position) if equal_bytes is not None else None
+        return index + 1 if run is None else run.end() * _BITS_PER_BYTE
+
     def add(self, index: int) -> bool:
         """Add a member; return False if it was already present."""
         if index in self:
--- a/pitchtally/scheduling/rebalancing/task_migration.py
+++ b/pitchtally/scheduling/rebalancing/task_migration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from msgspec import UNSET
 
@@ -13,6 +13,7 @@
 from ...state_store.errors import StoreUnavailable
 from ..range_writer import RangeWriter
 from ..shards.allocations import ShardAllocation
+from ..shards.pending_tasks import PendingRange
 from ..shards.shard_statuses import ShardStatuses
 
 log = logging.getLogger(__name__)
@@ -71,7 +72,7 @@
 
 
 def _migrated(
-    ranges: Iterable[TaskRange], source: int, target: int, moved: list[tuple[int, int]]
+    ranges: Iterable[TaskRange], source: int, target: int, moved: Sequence[PendingRange]
 ) -> list[TaskRange]:
     """Return a job's ranges after the `moved` tasks of `source` are assigned to `target`."""
     migrated: list[tuple[int, int, int]] = []
--- a/pitchtally/scheduling/shards/allocations.py
+++ b/pitchtally/scheduling/shards/allocations.py
@@ -16,49 +16,13 @@
 from ...protocol import cloud_api, user_api
 from ..capacity import RANK
 from .lower_price_capacity import GroupCapacity, TaskCapacity
+from .pending_tasks import PendingTasks
 
 # Lower bound of a group's capacity for batch tasks. Without it, the queue of a group fully used
 # by services would have no finite length; with it, the queue is merely very long.
 MIN_BATCH_MACHINES = 0.05
 
 
-class PendingTasks:
-    """Tasks that have not started, stored as half-open ranges to keep wide arrays cheap."""
-
-    def __init__(self) -> None:
-        self.ranges: list[tuple[int, int]] = []
-        self.count = 0
-
-    def put(self, first: int, end: int) -> None:
-        """Add the tasks from `first` up to, but not including, `end`."""
-        if end > first:
-            self.ranges.append((first, end))
-            self.count += end - first
-
-    def pop(self) -> int:
-        """Remove and return one task; raise IndexError if there is none."""
-        first, end = self.ranges[-1]
-        if end - first == 1:
-            self.ranges.pop()
-        else:
-            self.ranges[-1] = (first + 1, end)
-        self.count -= 1
-        return first
-
-    def split_off(self, max_count: int) -> list[tuple[int, int]]:
-        """Remove up to `max_count` tasks, those that would start last first; return the ranges."""
-        removed = []
-        while max_count > 0 and self.ranges:
-            first, end = self.ranges.pop(0)
-            taken = min(max_count, end - first)
-            removed.append((end - taken, end))
-            if first < end - taken:
-                self.ranges.insert(0, (first, end - taken))
-            max_count -= taken
-            self.count -= taken
-        return removed
-
-
 def max_tasks_in_zone(spec: user_api.JobSpec) -> int:
     """Return how many tasks of a spread job one zone may have: half of them, rounded up.
 
@@ -121,26 +85,27 @@
         """Rebuild the pending tasks: those in the ranges that are neither finished nor placed."""
         self.ranges = [(r.first, r.end) for r in self.job.record.ranges if r.shard == self.shard]
         self.pending = PendingTasks()
-        runs = []
+        if not self.job.open:
+            return
+        not_pending = self.job.finished_tasks()
+        for task in self.placed:
+            not_pending.add(task)
         for first, end in self.ranges:
-            start: int | None = None
-            for task in range(first, end):
-                if task in self.placed or self.job.is_finished(task):
-                    if start is not None:
-                        runs.append((start, task))
-                        start = None
-                elif start is None:
-                    start = task
-            if start is not None:
-                runs.append((start, end))
-        for first, end in reversed(runs):
-            self.pending.put(first, end)
+            for gap_first, gap_end in not_pending.gaps(first, end):
+                self.pending.put(gap_first, gap_end)
+
+    def has_task(self, task: int) -> bool:
+        """Return whether a task is in the ranges that the shard has."""
+        return any(first <= task < end for first, end in self.ranges)
+
+    def adopt(self, placement: Placement) -> None:
+        """Record a task that an earlier leader started as placed, so no longer pending."""
+        self.placed[placement.task] = placement
+        self.pending.remove(placement.task)
 
     def return_to_pending(self, task: int) -> None:
         """Make a task that has left its machine pending again, unless finished or moved."""
-        if any(first <= task < end for first, end in self.ranges) and not self.job.is_finished(
-            task
-        ):
+        if self.has_task(task) and not self.job.is_finished(task):
             if self.service and not self.pending.count:
                 self.pending_since = trio.current_time()  # all replicas were placed until now
             self.pending.put(task, task + 1)
--- a/pitchtally/scheduling/shards/shard_states.py
+++ b/pitchtally/scheduling/shards/shard_states.py
@@ -212,11 +212,10 @@
         if allocation is None or placement.task in allocation.placed:
             self.agents.stop(placement, 0.0)
             return False
-        if not any(first <= placement.task < end for first, end in allocation.ranges):
+        if not allocation.has_task(placement.task):
             self.agents.stop(placement, 0.0)
             return False
-        allocation.placed[placement.task] = placement
-        allocation.rebuild_pending()
+        allocation.adopt(placement)
         return True
 
     def task_completed(self, placement: Placement, run_s: float) -> None:
--- a/tests/jobs/test_task_bitmap.py
+++ b/tests/jobs/test_task_bitmap.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 
 from pitchtally.jobs.task_bitmap import TaskBitmap
@@ -19,3 +20,15 @@
     copy.add_bytes(bytes(bitmap.data))
     assert copy.count == 40
     assert all((i in copy) == (i in chosen) for i in range(100))
+
+
+def test_gaps_are_the_integers_that_are_no_members() -> None:
+    bitmap = TaskBitmap(200)
+    for member in [*range(3), *range(16, 40), *random.Random(5).sample(range(100, 200), 30)]:
+        bitmap.add(member)
+    for first, end in [(0, 200), (0, 8), (3, 16), (17, 39), (21, 150), (100, 100), (199, 200)]:
+        absent = [index for index in range(first, end) if index not in bitmap]
+        gaps = list(bitmap.gaps(first, end))
+        assert [index for gap in gaps for index in range(*gap)] == absent
+        # Two gaps are never adjacent, so wide arrays stay few ranges.
+        assert all(gap.end < following.first for gap, following in itertools.pairwise(gaps))
--- /dev/null
+++ b/tests/scheduling/test_failover_cost.py
@@ -0,0 +1,91 @@
+"""The work of a failover is in proportion to the tasks and jobs that are taken over."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import msgspec
+import trio
+import trio.testing
+
+from pitchtally.agents.machine_records import RecordedMachine
+from pitchtally.jobs.job_record import OPEN, JobRecord, TaskRange, encode
+from pitchtally.protocol import agent_api
+from pitchtally.state_store import keys
+
+from ..harness.single_controller import (
+    MACHINE_TYPE,
+    count_instructions,
+    heartbeat_request,
+    job_spec,
+    leader_of_shard,
+)
+
+TOKEN = 50
+SHARD = 0
+SHARD_COUNT = 3
+# Work that grows in proportion may exceed the ratio of the counts by this much, for fixed costs.
+TOLERANCE = 1.2
+
+
+def _listed(job: int, first: int, end: int) -> list[dict[str, Any]]:
+    """Return a job's tasks from `first` to `end`, as an agent lists those that run."""
+    return [
+        {"row": f"wk-{job:06d}/{task}", "pressing": 7, "stage": agent_api.RUNNING}
+        for task in range(first, end)
+    ]
+
+
+def _stored(jobs: int, tasks: int, machines: int, memory: float) -> dict[str, bytes]:
+    """Return the records of arrays in the shard, and of its machines, by key."""
+    records = {}
+    for number in range(1, jobs + 1):
+        spec = msgspec.structs.replace(job_spec(number, 0.01), tasks=tasks, memory=memory)
+        record = JobRecord(OPEN, tasks, spec, time.time(), [TaskRange(0, tasks, SHARD)])
+        records[keys.job(spec.id)] = encode(record)
+    recorded = {
+        f"i-{number * SHARD_COUNT:06d}": RecordedMachine("big", "a", False, "10.1.0.1:9000")
+        for number in range(machines)
+    }
+    records[keys.machines(SHARD, 0)] = msgspec.json.encode(recorded)
+    return records
+
+
+async def _fail_over(running: int, *, jobs: int = 1, tasks: int, machines: int = 2) -> int:
+    """Take over a shard, and return the instructions for the heartbeats of its machines.
+
+    Each machine lists `running` tasks of each job, and has no room for more.
+    """
+    memory = MACHINE_TYPE.memory / (running * jobs)
+    leader = leader_of_shard(SHARD, TOKEN, _stored(jobs, tasks, machines, memory))
+    instructions = 0
+    for number in range(machines):
+        listed = [
+            row
+            for job in range(1, jobs + 1)
+            for row in _listed(job, number * running, (number + 1) * running)
+        ]
+        request = heartbeat_request(number * SHARD_COUNT, 1, TOKEN, listed)
+        assert not leader.scheduler.shards.states[SHARD].reconciled
+        instructions += count_instructions(leader.agents.serve(request))
+    state = leader.scheduler.shards.states[SHARD]
+    assert state.reconciled
+    for allocation in state.allocations.values():
+        assert len(allocation.placed) == running * machines
+        assert allocation.pending.count == tasks - running * machines
+    assert len(state.allocations) == jobs
+    return instructions
+
+
+def test_failover_beside_a_wide_array_costs_in_proportion_to_its_running_tasks() -> None:
+    """Guards against `forgotten`: no controller answered after one crashed beside a wide array."""
+
+    async def main() -> None:
+        few_running = await _fail_over(10, tasks=2_000)
+        many_running = await _fail_over(40, tasks=2_000)
+        wider = await _fail_over(40, tasks=8_000)
+        assert few_running < many_running < few_running * 4 * TOLERANCE
+        assert wider < many_running * TOLERANCE
+
+    trio.run(main, clock=trio.testing.MockClock())
--- a/tests/scheduling/test_pending_tasks.py
+++ b/tests/scheduling/test_pending_tasks.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from pitchtally.scheduling.shards.allocations import PendingTasks
+import itertools
+import random
+
+from pitchtally.scheduling.shards.pending_tasks import PendingTasks
 
 
 def test_pending_tasks_yield_each_task_once() -> None:
@@ -13,3 +16,21 @@
     popped = [pending.pop() for _ in range(pending.count)]
     assert len(moved) == 13
     assert sorted(moved + popped) == [*range(20), *range(50, 60)]
+
+
+def test_pending_tasks_are_a_set_of_few_ranges() -> None:
+    rng = random.Random(7)
+    pending, model = PendingTasks(), set[int]()
+    for _ in range(400):
+        task = rng.randrange(60)
+        if rng.random() < 0.4:
+            pending.remove(task)
+            model.discard(task)
+        else:
+            end = min(60, task + rng.randrange(4))
+            pending.put(task, end)
+            model.update(range(task, end))
+        assert [task for span in pending.ranges for task in range(*span)] == sorted(model)
+        assert pending.count == len(model)
+        assert all(a.end < b.first for a, b in itertools.pairwise(pending.ranges))
+    assert pending.pop() == min(model)
