Keep the tasks found after a failover by job

Cause: tasks that agents list while their job is blocked stood in one list. Unblocking a job read the whole list twice, and each task that ended meanwhile searched it: (jobs) x (placements) in one call at the end of a failover, (tasks lost) x (placements) as leases end.

Change: ShardState.unattached is keyed by job.

Why it works: each found task is handled once, with its own job.

--- a/pitchtally/scheduling/shards/allocations.py
+++ b/pitchtally/scheduling/shards/allocations.py
@@ -168,7 +168,9 @@
         self.running_by_rank: list[int] = [0] * len(user_api.RANKS)  # tasks on machines, by rank
         # Gangs over several shards whose tasks for this shard fit here.
         self.ready_gangs: set[str] = set()
-        self.unattached: list[Placement] = []  # found on machines while their job was blocked
+        # Job ID -> tasks found on machines while the job was blocked; the inner dicts are ordered
+        # sets, which keeps seeded runs repeatable.
+        self.unattached: dict[str, dict[Placement, None]] = {}
 
     def lower_smallest_request(self, resources: Resources) -> None:
         """Lower the bound to cover a request that may be pending from now on."""
--- a/pitchtally/scheduling/shards/shard_states.py
+++ b/pitchtally/scheduling/shards/shard_states.py
@@ -109,14 +109,14 @@
             return False
         return allows_machine_type(spec, machine_type, group.zone, group.spot)
 
-    def _attach_unattached(self, state: ShardState, id: str) -> None:
-        """Attach the tasks of a job that were found on machines while the job was blocked."""
-        unattached = [placement for placement in state.unattached if placement.job.id == id]
-        state.unattached = [placement for placement in state.unattached if placement.job.id != id]
+    def _attach_unattached(self, state: ShardState, id: str) -> int:
+        """Attach the tasks of a job that were found while the job was blocked; return how many."""
+        unattached = state.unattached.pop(id, {})
         for placement in unattached:
             # `placement_lost` has already handled tasks that ended in the meantime.
             if placement.machine.placements.get(placement.key) is placement:
                 self._attach(placement)
+        return len(unattached)
 
     def shard_reconciled(self, shard: int) -> None:
         """Unblock all jobs: each machine that may run a task has reported its tasks or is lost.
@@ -125,13 +125,11 @@
         """
         state = self.states[shard]
         started_at = trio.current_time()
-        found_tasks = len(state.unattached)
         state.reconciled = True
         state.blocked.clear()
         for job in list(self.job_index.open.values()):
             self.update_allocation(job, shard)
-        for id in sorted({placement.job.id for placement in state.unattached}):
-            self._attach_unattached(state, id)
+        found_tasks = sum(self._attach_unattached(state, id) for id in sorted(state.unattached))
         log.info(
             "tasks adopted shard=%d jobs=%d tasks=%d took=%.1f",
             shard,
@@ -201,7 +199,7 @@
         if state is None:
             return False
         if placement.job.id in state.blocked or not state.loaded:
-            state.unattached.append(placement)
+            state.unattached.setdefault(placement.job.id, {})[placement] = None
             return True
         return self._attach(placement)
 
@@ -233,8 +231,7 @@
         state = self.states.get(placement.machine.shard)
         if state is None:
             return
-        if placement in state.unattached:
-            state.unattached.remove(placement)
+        state.unattached.get(placement.job.id, {}).pop(placement, None)
         allocation = state.allocations.get(placement.job.id)
         if allocation is None or allocation.placed.get(placement.task) is not placement:
             return
--- a/tests/scheduling/test_failover_cost.py
+++ b/tests/scheduling/test_failover_cost.py
@@ -89,3 +89,14 @@
         assert wider < many_running * TOLERANCE
 
     trio.run(main, clock=trio.testing.MockClock())
+
+
+def test_failover_of_many_jobs_costs_in_proportion_to_their_running_tasks() -> None:
+    """Guards against `forgotten`: the search for a job's found tasks read those of all jobs."""
+
+    async def main() -> None:
+        few_jobs = await _fail_over(4, jobs=16, tasks=100)
+        many_jobs = await _fail_over(4, jobs=64, tasks=100)
+        assert few_jobs < many_jobs < few_jobs * 4 * TOLERANCE
+
+    trio.run(main, clock=trio.testing.MockClock())
