Unblock the jobs of an acquired shard in steps that yield

Cause: the heartbeat of the last suspect machine allocated every job of the shard and adopted every task found in one call. Heartbeats, the session lease and users' requests wait for that call, however long it takes.

Change: JobUnblocking queues the jobs whose running tasks are all known, works off at most 1,000 tasks in the call that finds that out, and leaves the rest to a loop of its own, which yields before each step. A job is never divided; it stays blocked until its turn, so none of its tasks can start before. A job's found tasks are adopted together, with one rebuild of its pending tasks. The log line 'jobs unblocked' takes the place of 'tasks adopted'.

Why it works: no step depends on the size of the shard. The new test fails with MAX_TASKS_PER_STEP set so that all is one step, as it was before.

--- a/pitchtally/controller.py
+++ b/pitchtally/controller.py
@@ -336,6 +336,7 @@
             ("command_sender", self.agents.command_sender.run),
             ("reachability", self.agents.reachability.run),
             ("machine_records", self.agents.records.run),
+            ("job_unblocking", self.scheduler.shards.unblocking.run),
             ("shard_scheduling", self.scheduler.run),
             ("global_scheduling", self.scheduler.run_global_scheduling),
             ("autoscaler", self.autoscaler.run),
--- a/pitchtally/scheduling/shards/allocations.py
+++ b/pitchtally/scheduling/shards/allocations.py
@@ -98,6 +98,10 @@
         """Return whether a task is in the ranges that the shard has."""
         return any(first <= task < end for first, end in self.ranges)
 
+    def may_adopt(self, placement: Placement) -> bool:
+        """Return whether a running task belongs to the shard and runs nowhere else in it."""
+        return placement.task not in self.placed and self.has_task(placement.task)
+
     def adopt(self, placement: Placement) -> None:
         """Record a task that an earlier leader started as placed, so no longer pending."""
         self.placed[placement.task] = placement
--- a/pitchtally/scheduling/shards/shard_states.py
+++ b/pitchtally/scheduling/shards/shard_states.py
@@ -21,6 +21,7 @@
 from .allocations import ShardAllocation, ShardState
 from .deadlines import Deadlines
 from .failure_tracker import FailureTracker
+from .job_unblocking import JobUnblocking
 from .shard_statuses import ShardStatuses
 
 log = logging.getLogger(__name__)
@@ -57,6 +58,7 @@
         self.deadlines = deadlines
         self.failures = failures
         self.planning_trigger = planning_trigger
+        self.unblocking = JobUnblocking(states, self._unblock, planning_trigger)
         self.recent_jobs: dict[JobShape, user_api.JobSpec] = {}  # the newest job of each shape
         self.job_index.subscribe(self.on_job)
 
@@ -89,15 +91,12 @@
         `groups`: the groups of the machines that are still suspect.
         """
         state = self.states[shard]
-        for id in sorted(state.blocked):
-            job = self.job_index.jobs[id]
-            if any(self._may_have_run_on(job, group) for group in groups):
-                continue
-            state.blocked.discard(id)
-            self.update_allocation(job, shard)
-            self._attach_unattached(state, id)
-            log.debug("job unblocked shard=%d job=%s", shard, id)
-        self.planning_trigger.set()
+        unblockable = [
+            id
+            for id in sorted(state.blocked)
+            if not any(self._may_have_run_on(self.job_index.jobs[id], group) for group in groups)
+        ]
+        self.unblocking.request(shard, unblockable)
 
     def _may_have_run_on(self, job: Job, group: MachineGroupKey) -> bool:
         """Return whether an earlier leader may have placed a task of the job in a group."""
@@ -109,14 +108,30 @@
             return False
         return allows_machine_type(spec, machine_type, group.zone, group.spot)
 
-    def _attach_unattached(self, state: ShardState, id: str) -> int:
-        """Attach the tasks of a job that were found while the job was blocked; return how many."""
-        unattached = state.unattached.pop(id, {})
-        for placement in unattached:
-            # `placement_lost` has already handled tasks that ended in the meantime.
-            if placement.machine.placements.get(placement.key) is placement:
-                self._attach(placement)
-        return len(unattached)
+    def _unblock(self, shard: int, id: str) -> int:
+        """Allocate a job of which all running tasks are known; return how many were found."""
+        state = self.states[shard]
+        state.blocked.discard(id)
+        job = self.job_index.jobs[id]
+        if job.open:
+            self.update_allocation(job, shard)
+        found = state.unattached.pop(id, {})
+        self._attach_found(state, id, found)
+        log.debug("job unblocked shard=%d job=%s tasks=%d", shard, id, len(found))
+        return len(found)
+
+    def _attach_found(self, state: ShardState, id: str, found: Collection[Placement]) -> None:
+        """Attach the tasks of a job that were found on machines while the job was blocked."""
+        allocation = state.allocations.get(id)
+        for placement in found:
+            if placement.machine.placements.get(placement.key) is not placement:
+                continue  # `placement_lost` has already handled a task that ended in the meantime
+            if allocation is None or not allocation.may_adopt(placement):
+                self.agents.stop(placement, 0.0)
+            else:
+                allocation.placed[placement.task] = placement
+        if allocation is not None and found and not allocation.range_write_in_flight:
+            allocation.rebuild_pending()
 
     def shard_reconciled(self, shard: int) -> None:
         """Unblock all jobs: each machine that may run a task has reported its tasks or is lost.
@@ -124,20 +139,8 @@
         Tasks that were not reported are therefore pending.
         """
         state = self.states[shard]
-        started_at = trio.current_time()
         state.reconciled = True
-        state.blocked.clear()
-        for job in list(self.job_index.open.values()):
-            self.update_allocation(job, shard)
-        found_tasks = sum(self._attach_unattached(state, id) for id in sorted(state.unattached))
-        log.info(
-            "tasks adopted shard=%d jobs=%d tasks=%d took=%.1f",
-            shard,
-            len(state.allocations),
-            found_tasks,
-            trio.current_time() - started_at,
-        )
-        self.planning_trigger.set()
+        self.unblocking.request(shard, sorted(state.blocked | state.unattached.keys()))
 
     def on_job(self, job: Job, old: JobRecord | None) -> None:
         """Update the allocations of a changed job; `old` is its previous record, None if new."""
@@ -207,10 +210,7 @@
         """Record a running task as placed; stop it if another shard has it or it runs twice."""
         state = self.states[placement.machine.shard]
         allocation = state.allocations.get(placement.job.id)
-        if allocation is None or placement.task in allocation.placed:
-            self.agents.stop(placement, 0.0)
-            return False
-        if not allocation.has_task(placement.task):
+        if allocation is None or not allocation.may_adopt(placement):
             self.agents.stop(placement, 0.0)
             return False
         allocation.adopt(placement)
--- a/tests/scheduling/test_failover_cost.py
+++ b/tests/scheduling/test_failover_cost.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import itertools
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
 import trio.testing
 
 from pitchtally.agents.machine_records import RecordedMachine
+from pitchtally.controller import Controller
 from pitchtally.jobs.job_record import OPEN, JobRecord, TaskRange, encode
 from pitchtally.protocol import agent_api
+from pitchtally.scheduling.shards.job_unblocking import JobUnblocking
 from pitchtally.state_store import keys
 
 from ..harness.single_controller import (
@@ -27,6 +30,15 @@
 SHARD_COUNT = 3
 # Work that grows in proportion may exceed the ratio of the counts by this much, for fixed costs.
 TOLERANCE = 1.2
+# Running tasks of a shard that may be adopted while heartbeats and requests wait.
+MAX_TASKS_WITHOUT_YIELD = 1000
+
+
+class FailedOver(NamedTuple):
+    """The new leader of a shard, and the bytecode instructions that it has spent on it."""
+
+    leader: Controller
+    instructions: int
 
 
 def _listed(job: int, first: int, end: int) -> list[dict[str, Any]]:
@@ -52,8 +64,10 @@
     return records
 
 
-async def _fail_over(running: int, *, jobs: int = 1, tasks: int, machines: int = 2) -> int:
-    """Take over a shard, and return the instructions for the heartbeats of its machines.
+async def _hear_from_machines(
+    running: int, *, jobs: int = 1, tasks: int, machines: int = 2
+) -> FailedOver:
+    """Take over a shard, and handle the first heartbeat of each of its machines.
 
     Each machine lists `running` tasks of each job, and has no room for more.
     """
@@ -69,8 +83,23 @@
         request = heartbeat_request(number * SHARD_COUNT, 1, TOKEN, listed)
         assert not leader.scheduler.shards.states[SHARD].reconciled
         instructions += count_instructions(leader.agents.serve(request))
+    assert leader.scheduler.shards.states[SHARD].reconciled
+    return FailedOver(leader, instructions)
+
+
+async def _step(unblocking: JobUnblocking) -> None:
+    unblocking.step()
+
+
+async def _fail_over(running: int, *, jobs: int = 1, tasks: int, machines: int = 2) -> int:
+    """Take over a shard with its jobs, and return the instructions for that."""
+    leader, instructions = await _hear_from_machines(
+        running, jobs=jobs, tasks=tasks, machines=machines
+    )
+    unblocking = leader.scheduler.shards.unblocking
+    while unblocking.pending:
+        instructions += count_instructions(_step(unblocking))
     state = leader.scheduler.shards.states[SHARD]
-    assert state.reconciled
     for allocation in state.allocations.values():
         assert len(allocation.placed) == running * machines
         assert allocation.pending.count == tasks - running * machines
@@ -100,3 +129,23 @@
         assert few_jobs < many_jobs < few_jobs * 4 * TOLERANCE
 
     trio.run(main, clock=trio.testing.MockClock())
+
+
+def test_failover_yields_between_jobs() -> None:
+    """Guards against `forgotten`: nothing was answered until all tasks of a shard were adopted."""
+
+    async def main() -> None:
+        jobs, running, machines = 60, 40, 2
+        leader, _ = await _hear_from_machines(running, jobs=jobs, tasks=100, machines=machines)
+        allocations = leader.scheduler.shards.states[SHARD].allocations
+        adopted = [sum(len(a.placed) for a in allocations.values())]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(leader.scheduler.shards.unblocking.run)
+            while adopted[-1] < jobs * running * machines:
+                await trio.sleep(0)
+                adopted.append(sum(len(a.placed) for a in allocations.values()))
+            nursery.cancel_scope.cancel()
+        largest_step = max(b - a for a, b in itertools.pairwise([0, *adopted]))
+        assert largest_step <= MAX_TASKS_WITHOUT_YIELD + running * machines
+
+    trio.run(main, clock=trio.testing.MockClock())
