Count the placed tasks of a job by zone instead of reading all of them

Cause: ShardAllocation.placed_in read every placed task of a job, and the placer calls it for each spread job on each heartbeat of a machine with room: (heartbeats) x (tasks running). A spread array stays in one shard, so that may be 100,000 tasks a heartbeat.

Change: the allocation counts its placed tasks by zone as they come and go.

Why it works: a start costs the same whatever runs.

--- a/pitchtally/scheduling/shards/allocations.py
+++ b/pitchtally/scheduling/shards/allocations.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 
 import trio
@@ -54,7 +55,9 @@
         self.capacity_by_group: dict[MachineGroupKey, TaskCapacity] = {}
         self.allowed_groups: dict[MachineGroupKey, bool] = {}  # group -> whether the job allows it
         self.pending = PendingTasks()
+        # Changed by `add_placement` and `remove_placement` alone, which count the tasks by zone.
         self.placed: dict[int, Placement] = {}
+        self._placed_by_zone: Counter[str] = Counter()
         self.ranges: list[tuple[int, int]] = []
         self.pending_since = trio.current_time()  # the last start, or when tasks became pending
         # Whether the outcome of a write that takes tasks from this shard is still unknown.
@@ -79,7 +82,17 @@
 
     def placed_in(self, zone: str) -> int:
         """Return how many tasks are on machines of a zone, including those being stopped."""
-        return sum(1 for p in self.placed.values() if p.machine.zone == zone)
+        return self._placed_by_zone[zone]
+
+    def add_placement(self, placement: Placement) -> None:
+        """Record that a task is on a machine."""
+        self.placed[placement.task] = placement
+        self._placed_by_zone[placement.machine.zone] += 1
+
+    def remove_placement(self, placement: Placement) -> None:
+        """Record that a task has left its machine."""
+        del self.placed[placement.task]
+        self._placed_by_zone[placement.machine.zone] -= 1
 
     def rebuild_pending(self) -> None:
         """Rebuild the pending tasks: those in the ranges that are neither finished nor placed."""
@@ -104,7 +117,7 @@
 
     def adopt(self, placement: Placement) -> None:
         """Record a task that an earlier leader started as placed, so no longer pending."""
-        self.placed[placement.task] = placement
+        self.add_placement(placement)
         self.pending.remove(placement.task)
 
     def return_to_pending(self, task: int) -> None:
--- a/pitchtally/scheduling/shards/shard_states.py
+++ b/pitchtally/scheduling/shards/shard_states.py
@@ -129,7 +129,7 @@
             if allocation is None or not allocation.may_adopt(placement):
                 self.agents.stop(placement, 0.0)
             else:
-                allocation.placed[placement.task] = placement
+                allocation.add_placement(placement)
         if allocation is not None and found and not allocation.range_write_in_flight:
             allocation.rebuild_pending()
 
@@ -235,7 +235,7 @@
         allocation = state.allocations.get(placement.job.id)
         if allocation is None or allocation.placed.get(placement.task) is not placement:
             return
-        del allocation.placed[placement.task]
+        allocation.remove_placement(placement)
         job = placement.job
         if not job.open:
             return
--- a/pitchtally/scheduling/shards/task_start.py
+++ b/pitchtally/scheduling/shards/task_start.py
@@ -19,6 +19,6 @@
 ) -> None:
     """Place a task on a machine; the response to the agent's next heartbeat starts it."""
     placement = Placement(allocation.job, task, attempt, machine)
-    allocation.placed[task] = placement
+    allocation.add_placement(placement)
     agents.placements.put(placement)
     allocation.pending_since = trio.current_time()
