--- a/pitchtally/scheduling/shards/allocations.py
+++ b/pitchtally/scheduling/shards/allocations.py
@@ -16,6 +16,7 @@
 from ...jobs.resources import Resources, resource_request
 from ...protocol import cloud_api, user_api
 from ..capacity import RANK
+from .failure_attribution import JobHealth
 from .lower_price_capacity import GroupCapacity, TaskCapacity
 from .pending_tasks import PendingTasks
 
@@ -65,11 +66,24 @@
         self.allotted_at = LONG_AGO_S  # time at which tasks were last added to machine queues
         self.not_before = LONG_AGO_S  # end of the back-off after failures; no task starts earlier
         self.failed_on: dict[str, float] = {}  # machine -> when a task of the job last failed there
+        # Machines whose failure counts include failures of this job.
+        self.machines_blamed: set[str] = set()
         self.longest_failed_run_s = 0.0  # the longest run that ended in a failure
         self.probe_count = 0  # failed retries since the job was classified as faulty
-        self.faulty = False  # see `failure_attribution`
+        # By its failures and running tasks when it was last classified, see `failure_attribution`.
+        self.classified_as = JobHealth.UNKNOWN
         self.last_shared_attempt = 0  # attempt placed last, for a gang over several shards
 
+    @property
+    def faulty(self) -> bool:
+        """Whether the job fails on every machine."""
+        return self.classified_as is JobHealth.FAULTY
+
+    @property
+    def has_finished_task(self) -> bool:
+        """Whether a task of the job has finished, durable or not."""
+        return bool(self.job.finished.count or self.job.unwritten_tasks)
+
     def max_tasks_in_zone(self, zone: str) -> int:
         """Return how many tasks of a spread job this shard may have in a zone."""
         if self.service and self.job.record.zone_caps:
--- a/tests/scheduling/test_running_task_cost.py
+++ b/tests/scheduling/test_running_task_cost.py
@@ -8,9 +8,11 @@
 import trio
 import trio.testing
 
+from pitchtally.agents.machine import Machine
 from pitchtally.controller import Controller
+from pitchtally.http import Request
 from pitchtally.jobs.job_record import OPEN, JobRecord, TaskRange, encode
-from pitchtally.protocol import cloud_api
+from pitchtally.protocol import agent_api, cloud_api
 from pitchtally.scheduling.shards.allocations import ShardAllocation
 from pitchtally.scheduling.shards.task_start import next_attempt, place_task
 from pitchtally.state_store import keys
@@ -25,7 +27,6 @@
 TOKEN = 50
 SHARD = 0
 SHARD_COUNT = 3
-TASKS = 2_000
 TASK_MEMORY_GIB = 0.1
 MACHINES = 4
 # The same work may differ by this much, in the sizes of numbers and tables.
@@ -33,14 +34,16 @@
 ONE_TASK_TYPE = cloud_api.MachineType("small", cpus=64.0, memory=TASK_MEMORY_GIB, zones=["b"])
 
 
-async def _run_tasks(running: int, *, spread: bool) -> tuple[Controller, ShardAllocation]:
-    """Return a leader, and its allocation of an array of which `running` tasks run."""
+async def _run_tasks(
+    running: int, tasks: int, *, spread: bool = False
+) -> tuple[Controller, ShardAllocation]:
+    """Return a leader, and its allocation of an array: `running` of its `tasks` tasks run."""
     leader = leader_of_shard(SHARD, TOKEN)
     leader.autoscaler.catalog.types_by_name["small"] = ONE_TASK_TYPE
     spec = msgspec.structs.replace(
-        job_spec(1, 0.01), tasks=TASKS, memory=TASK_MEMORY_GIB, spread=spread
+        job_spec(1, 0.01), tasks=tasks, memory=TASK_MEMORY_GIB, spread=spread
     )
-    record = JobRecord(OPEN, TASKS, spec, time.time(), [TaskRange(0, TASKS, SHARD)])
+    record = JobRecord(OPEN, tasks, spec, time.time(), [TaskRange(0, tasks, SHARD)])
     leader.replica.apply_committed(keys.job(spec.id), encode(record), TOKEN + 1)
     allocation = leader.scheduler.shards.states[SHARD].allocations[spec.id]
     for number in range(MACHINES):
@@ -60,7 +63,7 @@
     """Guards against `forgotten`: each heartbeat counted the running tasks of a spread array."""
 
     async def instructions_of_a_start(running: int) -> int:
-        leader, allocation = await _run_tasks(running, spread=True)
+        leader, allocation = await _run_tasks(running, 2 * running + 2, spread=True)
         number = MACHINES * SHARD_COUNT
         await leader.agents.serve(heartbeat_request(number, 1, TOKEN, [], type="small"))
         leader.agents.machines[f"i-{number:06d}"].recorded = True
@@ -75,3 +78,42 @@
         assert 0 < many <= few * TOLERANCE
 
     trio.run(main, clock=trio.testing.MockClock())
+
+
+def _heartbeat_of_all_tasks(machine: Machine, sequence: int, **status: str) -> Request:
+    """Return a heartbeat that lists the machine's tasks, all in the same state."""
+    number = int(machine.name.removeprefix("i-"))
+    rows = [
+        {"row": key, "pressing": placement.attempt, **status}
+        for key, placement in machine.placements.items()
+    ]
+    return heartbeat_request(number, sequence, TOKEN, rows)
+
+
+def test_tasks_that_fail_together_cost_in_proportion_to_their_number() -> None:
+    """Guards against `forgotten`: each task of a faulty array that failed read all running ones."""
+
+    async def instructions_of_failures(running: int) -> int:
+        leader, allocation = await _run_tasks(running, running)
+        machines = list(leader.agents.machines.values())
+        for machine in machines:
+            for placement in machine.placements.values():
+                placement.start_heartbeat_seq = 1
+            request = _heartbeat_of_all_tasks(machine, 2, stage=agent_api.RUNNING)
+            await leader.agents.serve(request)
+        assert len(allocation.placed) == running
+        instructions = 0
+        for machine in machines:
+            request = _heartbeat_of_all_tasks(
+                machine, 3, stage=agent_api.EXITED, cause=agent_api.ERROR
+            )
+            instructions += count_instructions(leader.agents.serve(request))
+        assert allocation.faulty
+        assert not allocation.placed
+        return instructions
+
+    async def main() -> None:
+        few, many = await instructions_of_failures(100), await instructions_of_failures(400)
+        assert few < many <= few * 4 * TOLERANCE
+
+    trio.run(main, clock=trio.testing.MockClock())
