Tell the tasks of a broken gang to stop once

Cause: whenever a task of a gang had left its machine, all that remained were told to stop, also if they had been told already: a gang of n tasks that ends took n x n / 2 steps.

Change: the allocation remembers that its gang is stopping, until a task is placed or adopted.

Why it works: each task is told once.

--- a/pitchtally/scheduling/shards/allocations.py
+++ b/pitchtally/scheduling/shards/allocations.py
@@ -72,6 +72,8 @@
         self.probe_count = 0  # failed retries since the job was classified as faulty
         # By its failures and running tasks when it was last classified, see `failure_attribution`.
         self.classified_as = JobHealth.UNKNOWN
+        # Whether all placed tasks of a gang were told to stop, as one of them is gone.
+        self.gang_stopping = False
         self.last_shared_attempt = 0  # attempt placed last, for a gang over several shards
 
     @property
@@ -102,6 +104,7 @@
         """Record that a task is on a machine."""
         self.placed[placement.task] = placement
         self._placed_by_zone[placement.machine.zone] += 1
+        self.gang_stopping = False
 
     def remove_placement(self, placement: Placement) -> None:
         """Record that a task has left its machine."""
--- a/pitchtally/scheduling/shards/shard_states.py
+++ b/pitchtally/scheduling/shards/shard_states.py
@@ -248,9 +248,18 @@
                 self.failures.task_failed(state, allocation, placement)
             elif cause == agent_api.UNKNOWN:
                 allocation.not_before = trio.current_time() + self.agent_heartbeat_s
-        if job.spec.kind == user_api.GANG and not job.is_finished(placement.task):
-            # A gang can't run with a task missing; the next attempt starts once all its tasks
-            # have stopped.
-            for remaining in list(allocation.placed.values()):
-                self.agents.stop(remaining, job.spec.checkpoint_grace)
+        if allocation.gang and not job.is_finished(placement.task):
+            self._stop_gang(allocation)
         self.planning_trigger.set()
+
+    def _stop_gang(self, allocation: ShardAllocation) -> None:
+        """Stop the placed tasks of a gang that has lost one, unless they were told already.
+
+        A gang can't run with a task missing; the next attempt starts once all its tasks have
+        stopped.
+        """
+        if allocation.gang_stopping:
+            return
+        allocation.gang_stopping = True
+        for remaining in list(allocation.placed.values()):
+            self.agents.stop(remaining, allocation.spec.checkpoint_grace)
--- a/tests/scheduling/test_running_task_cost.py
+++ b/tests/scheduling/test_running_task_cost.py
@@ -12,7 +12,7 @@
 from pitchtally.controller import Controller
 from pitchtally.http import Request
 from pitchtally.jobs.job_record import OPEN, JobRecord, TaskRange, encode
-from pitchtally.protocol import agent_api, cloud_api
+from pitchtally.protocol import agent_api, cloud_api, user_api
 from pitchtally.scheduling.shards.allocations import ShardAllocation
 from pitchtally.scheduling.shards.task_start import next_attempt, place_task
 from pitchtally.state_store import keys
@@ -35,13 +35,13 @@
 
 
 async def _run_tasks(
-    running: int, tasks: int, *, spread: bool = False
+    running: int, tasks: int, *, kind: str = user_api.ARRAY, spread: bool = False
 ) -> tuple[Controller, ShardAllocation]:
-    """Return a leader, and its allocation of an array: `running` of its `tasks` tasks run."""
+    """Return a leader, and its allocation of a job: `running` of its `tasks` tasks run."""
     leader = leader_of_shard(SHARD, TOKEN)
     leader.autoscaler.catalog.types_by_name["small"] = ONE_TASK_TYPE
     spec = msgspec.structs.replace(
-        job_spec(1, 0.01), tasks=tasks, memory=TASK_MEMORY_GIB, spread=spread
+        job_spec(1, 0.01), tasks=tasks, memory=TASK_MEMORY_GIB, kind=kind, spread=spread
     )
     record = JobRecord(OPEN, tasks, spec, time.time(), [TaskRange(0, tasks, SHARD)])
     leader.replica.apply_committed(keys.job(spec.id), encode(record), TOKEN + 1)
@@ -90,30 +90,41 @@
     return heartbeat_request(number, sequence, TOKEN, rows)
 
 
+async def _instructions_of_failures(running: int, kind: str) -> int:
+    """Return the instructions for heartbeats that list all tasks of a job as failed."""
+    leader, allocation = await _run_tasks(running, running, kind=kind)
+    machines = list(leader.agents.machines.values())
+    for machine in machines:
+        for placement in machine.placements.values():
+            placement.start_heartbeat_seq = 1
+        await leader.agents.serve(_heartbeat_of_all_tasks(machine, 2, stage=agent_api.RUNNING))
+    assert len(allocation.placed) == running
+    instructions = 0
+    for machine in machines:
+        request = _heartbeat_of_all_tasks(machine, 3, stage=agent_api.EXITED, cause=agent_api.ERROR)
+        instructions += count_instructions(leader.agents.serve(request))
+    assert allocation.faulty
+    assert not allocation.placed
+    return instructions
+
+
 def test_tasks_that_fail_together_cost_in_proportion_to_their_number() -> None:
     """Guards against `forgotten`: each task of a faulty array that failed read all running ones."""
 
-    async def instructions_of_failures(running: int) -> int:
-        leader, allocation = await _run_tasks(running, running)
-        machines = list(leader.agents.machines.values())
-        for machine in machines:
-            for placement in machine.placements.values():
-                placement.start_heartbeat_seq = 1
-            request = _heartbeat_of_all_tasks(machine, 2, stage=agent_api.RUNNING)
-            await leader.agents.serve(request)
-        assert len(allocation.placed) == running
-        instructions = 0
-        for machine in machines:
-            request = _heartbeat_of_all_tasks(
-                machine, 3, stage=agent_api.EXITED, cause=agent_api.ERROR
-            )
-            instructions += count_instructions(leader.agents.serve(request))
-        assert allocation.faulty
-        assert not allocation.placed
-        return instructions
+    async def main() -> None:
+        few = await _instructions_of_failures(100, user_api.ARRAY)
+        many = await _instructions_of_failures(400, user_api.ARRAY)
+        assert few < many <= few * 4 * TOLERANCE
+
+    trio.run(main, clock=trio.testing.MockClock())
+
+
+def test_gang_that_ends_costs_in_proportion_to_its_tasks() -> None:
+    """Guards against `forgotten`: each task of a gang that ended told all others to stop."""
 
     async def main() -> None:
-        few, many = await instructions_of_failures(100), await instructions_of_failures(400)
+        few = await _instructions_of_failures(100, user_api.GANG)
+        many = await _instructions_of_failures(400, user_api.GANG)
         assert few < many <= few * 4 * TOLERANCE
 
     trio.run(main, clock=trio.testing.MockClock())
