Let preemption yield between jobs, and collect its victims once a round

Cause: a planning round chose victims for up to eight jobs in one call, and for each job judged, weighed and sorted every placement of the shard: (jobs) x (placements).

Change: RoundVictims (a module of its own) collects the victims on a machine once for all jobs of the same rank and claim to a guarantee; a job skips those that an earlier one has stopped, or that ended. The round yields after the job with which it has read 10,000 placements, and ends if the shard is lost meanwhile; a job is checked again after a yield.

Why it works: a step reads 10,000 placements and those of one job at most.

Open: each job still looks at all victims that its steps could use.

--- a/pitchtally/scheduling/placement/preemption.py
+++ b/pitchtally/scheduling/placement/preemption.py
@@ -5,20 +5,20 @@
 import logging
 import math
 from collections import Counter
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import trio
 
 from ...agents.machine import Machine, Placement, Reservation
 from ...jobs.resources import fits
-from ...protocol import user_api
-from ..capacity import is_gang
 from ..context import SchedulingContext
 from ..gangs.reservations import is_reserved_for
 from ..quotas.quotas import Quotas
 from ..shards.allocations import ShardAllocation, ShardState
 from ..shards.deadlines import Deadlines
 from ..shards.eligibility import is_ready, machine_allowed
+from .victims import RoundVictims, Victim
 
 log = logging.getLogger(__name__)
 
@@ -32,19 +32,11 @@
     victims: list[Placement]  # empty where the capacity is already free
 
 
-class Victim(NamedTuple):
-    """A placement that may be preempted, and the work that is lost with it."""
-
-    loss: float  # task-seconds weighted by CPUs
-    placement: Placement
-
-
 # Maximum number of jobs that preempt in one planning round; the others may in the next.
 MAX_PREEMPTING_JOBS = 8
-# Minimum number of CPUs by which a task's loss is weighted.
-MIN_LOSS_CPUS = 0.1
-# Loss added for stopping any running task, in task-seconds weighted by CPUs.
-BASE_LOSS_CPU_S = 0.1
+# Placements that one step of a round reads, while heartbeats and requests wait; a job is never
+# divided.
+MAX_PLACEMENTS_PER_STEP = 10_000
 # Agent heartbeat intervals for which machines stay reserved after the victims' grace period.
 RESERVATION_INTERVALS = 3
 
@@ -67,10 +59,27 @@
         self.deadlines = deadlines
         self.quotas = quotas
 
-    def preempt(self, shard: int) -> None:
-        """Preempt for pending jobs of higher rank, or of teams within their guarantee."""
+    async def preempt(self, shard: int) -> None:
+        """Preempt for pending jobs of higher rank, or of teams within their guarantee.
+
+        Yields between jobs once the round has read many placements.
+        """
         state = self.shards[shard]
         now = trio.current_time()
+        victims = RoundVictims(self.quotas, now)
+        read_before_step = 0
+        for id in self._candidates(state, shard, now):
+            if victims.placements_read - read_before_step > MAX_PLACEMENTS_PER_STEP:
+                await trio.sleep(0)
+                read_before_step = victims.placements_read
+                if self.shards.get(shard) is not state:
+                    return
+            allocation = state.allocations.get(id)
+            if allocation is not None and self._may_preempt(state, allocation, now):
+                self._preempt_for(state, allocation, victims, now)
+
+    def _candidates(self, state: ShardState, shard: int, now: float) -> list[str]:
+        """Return the jobs that may preempt in this round, by priority."""
         candidates = []
         over_guarantee = [team for team in self.quotas.teams if self.quotas.over_guarantee(team)]
         for id, allocation in state.allocations.items():
@@ -87,14 +96,17 @@
                 continue
             deadline = self.deadlines.allocation_deadline(allocation, self.samples.stretches[-1])
             candidates.append((allocation.rank, not within_guarantee, deadline, id))
-        for _, outside_guarantee, _, id in sorted(candidates)[:MAX_PREEMPTING_JOBS]:
-            if is_reserved_for(self.agents.of_shard(shard), id):
-                continue
-            allocation = state.allocations[id]
-            steps = self._steps(allocation, shard, not outside_guarantee, now)
-            chosen = self._choose(allocation, steps)
-            if any(step.victims for step in chosen):
-                self._stop_victims(state, allocation, chosen, now)
+        return [id for _, _, _, id in sorted(candidates)[:MAX_PREEMPTING_JOBS]]
+
+    def _preempt_for(
+        self, state: ShardState, allocation: ShardAllocation, victims: RoundVictims, now: float
+    ) -> None:
+        """Stop the cheapest victims that make room for a job, unless machines wait for it."""
+        if is_reserved_for(self.agents.of_shard(allocation.shard), allocation.job.id):
+            return
+        chosen = self._choose(allocation, self._steps(allocation, victims, now))
+        if any(step.victims for step in chosen):
+            self._stop_victims(state, allocation, chosen, now)
 
     def _may_preempt(self, state: ShardState, allocation: ShardAllocation, now: float) -> bool:
         """Return whether a job is ready and has been pending long enough to preempt for it."""
@@ -164,19 +176,14 @@
             len(victims),
         )
 
-    def _steps(
-        self,
-        allocation: ShardAllocation,
-        shard: int,
-        within_guarantee: bool,
-        now: float,
-    ) -> list[Step]:
+    def _steps(self, allocation: ShardAllocation, victims: RoundVictims, now: float) -> list[Step]:
         """Return all steps that gain capacity for one more task each, cheapest first."""
+        within_guarantee = self.quotas.within_guarantee(allocation.spec)
         steps: list[Step] = []
-        for machine in self.agents.of_shard(shard):
+        for machine in self.agents.of_shard(allocation.shard):
             if self._may_start_on(allocation, machine, within_guarantee, now):
-                victims = self._victims_on(allocation, machine, within_guarantee, now)
-                steps.extend(_steps_on(allocation, machine, victims))
+                on_machine = victims.on(machine, allocation, within_guarantee=within_guarantee)
+                steps.extend(_steps_on(allocation, machine, on_machine))
         return sorted(steps, key=lambda step: (step.cost, step.machine_name))
 
     def _may_start_on(
@@ -195,76 +202,24 @@
                 return False
         return machine_allowed(allocation, machine, self.policy.unhealthy_rest)
 
-    def _victims_on(
-        self, allocation: ShardAllocation, machine: Machine, within_guarantee: bool, now: float
-    ) -> list[Victim]:
-        """Return the placements on a machine that the job may preempt, least loss last."""
-        victims = [
-            Victim(self._loss(placement, now), placement)
-            for placement in machine.placements.values()
-            if self._is_preemptible(allocation, placement, within_guarantee)
-        ]
-        victims.sort(key=lambda victim: (victim.loss, victim.placement.key), reverse=True)
-        return victims
 
-    def _is_preemptible(
-        self, allocation: ShardAllocation, placement: Placement, within_guarantee: bool
-    ) -> bool:
-        """Return whether the job may preempt a placement, by rank or by its team's guarantee."""
-        if placement.stop_grace is not None or placement.job.id == allocation.job.id:
-            return False
-        if _is_shared_gang(placement):
-            return False
-        if placement.rank > allocation.rank:
-            return True
-        # Preempting one gang for another of equal rank would gain nothing.
-        return (
-            not is_gang(placement)
-            and within_guarantee
-            and self.quotas.other_team_over_guarantee(placement.spec, allocation.spec.team)
-        )
-
-    def _loss(self, placement: Placement, now: float) -> float:
-        """Return the work that a stop loses, in task-seconds weighted by CPUs.
-
-        For a task with checkpoints, at most the time to write one (`checkpoint_grace`) is lost.
-        """
-        if placement.running_since is None or not placement.observed:
-            return 0.0
-        spec = placement.spec
-        lost_s = now - placement.running_since
-        if spec.checkpoint_interval:
-            lost_s = min(lost_s, spec.checkpoint_grace)
-        tasks = spec.tasks if spec.kind == user_api.GANG else 1  # all tasks of a gang stop
-        return lost_s * max(placement.resources.cpus, MIN_LOSS_CPUS) * tasks + BASE_LOSS_CPU_S
-
-
-def _steps_on(allocation: ShardAllocation, machine: Machine, victims: list[Victim]) -> list[Step]:
-    """Return the steps on one machine, in order; their costs are cumulative.
-
-    Removes the victims that it uses from the end of `victims`.
-    """
+def _steps_on(
+    allocation: ShardAllocation, machine: Machine, victims: Iterator[Victim]
+) -> list[Step]:
+    """Return the steps on one machine, in order; their costs are cumulative."""
     resources = allocation.resources
     available = machine.available()
-    steps = []
+    steps: list[Step] = []
     cost = 0.0
     for _ in range(allocation.pending.count):
         stopped = []
-        while victims and not fits(resources, available):
-            loss, placement = victims.pop()
-            available = available.plus(placement.resources)
-            cost += loss
-            stopped.append(placement)
-        if not fits(resources, available):
-            break
+        while not fits(resources, available):
+            victim = next(victims, None)
+            if victim is None:
+                return steps
+            available = available.plus(victim.placement.resources)
+            cost += victim.loss
+            stopped.append(victim.placement)
         available = available.minus(resources)
         steps.append(Step(cost, machine.name, machine, stopped))
     return steps
-
-
-def _is_shared_gang(placement: Placement) -> bool:
-    """Return whether a placement belongs to a gang over several shards.
-
-    A single shard leader can't stop all tasks of such a gang.
-    """
-    return placement.job.record.attempt != 0
--- a/pitchtally/scheduling/scheduler.py
+++ b/pitchtally/scheduling/scheduler.py
@@ -187,21 +187,22 @@
             for shard, state in list(self.shards.states.items()):
                 if state.loaded and shard in self.shards.states:
                     started_at = trio.current_time()
-                    self._plan(shard, state)
+                    await self._plan(shard, state)
                     planning_s += trio.current_time() - started_at
                     await trio.sleep(0)  # lets waiting agent heartbeats be answered first
             planning_s += self.status_publisher.refresh()
             # Bounds the share of processor time for planning, whatever the number of machines.
             await trio.sleep(min(self.agent_heartbeat_s, planning_s * _PLANNING_PAUSE_FACTOR))
 
-    def _plan(self, shard: int, state: ShardState) -> None:
-        """Run one planning round of a shard."""
+    async def _plan(self, shard: int, state: ShardState) -> None:
+        """Run one planning round of a shard, as far as this controller still leads it."""
         self.survey.survey(shard)
         self.allotment.allot(shard)
         self.gang_starter.start(state, shard)
         self.draining.evict_draining(shard)
-        self.preemption.preempt(shard)
-        self.reservations.reserve(shard)
+        await self.preemption.preempt(shard)
+        if self.shards.states.get(shard) is state:
+            self.reservations.reserve(shard)
 
     async def run_global_scheduling(self) -> None:
         """Assign jobs, return ranges, migrate tasks and transfer quota, until cancelled.
