Yield after each machine whose lease expired

Cause: LeaseExpiry removed the tasks of all machines whose leases had expired in one call. After a cut many machines expire in the same check, with some hundred tasks each.

Change: the loop yields after each such machine, and skips machines that were replaced or lost meanwhile. The verified time that it compares with is that of the start of the check, which is the earlier and so the safe one.

Why it works: a step handles the tasks of one machine.

--- a/pitchtally/agents/lease_expiry.py
+++ b/pitchtally/agents/lease_expiry.py
@@ -53,14 +53,21 @@
             leadership_verified_until = self._freshness.leadership_verified_at()
             resumed_at = self._freshness.resumed_at()
             for machine in list(self._index.machines.values()):
-                if machine.shard in self._shards:
-                    self._check(machine, now, leadership_verified_until, resumed_at)
+                # During a yield below, a shard may be lost, and its machines be replaced.
+                if self._index.machines.get(machine.name) is not machine:
+                    continue
+                if machine.shard not in self._shards:
+                    continue
+                if self._check(machine, now, leadership_verified_until, resumed_at):
+                    await trio.sleep(0)  # many machines may lose many tasks at the same time
 
     def _check(
         self, machine: Machine, now: float, leadership_verified_until: float, resumed_at: float
-    ) -> None:
+    ) -> bool:
+        """Update whether a machine is lost; return whether its tasks were removed."""
         since_last_heartbeat = now - max(machine.last_heartbeat_at, resumed_at)
-        if self._lease_has_expired(machine, leadership_verified_until):
+        lease_has_expired = self._lease_has_expired(machine, leadership_verified_until)
+        if lease_has_expired:
             log.info("lease expired machine=%s tasks=%d", machine.name, len(machine.placements))
             machine.lost = True
             self._task_control.remove_all(machine, LossCause.LEASE_EXPIRED)
@@ -71,6 +78,7 @@
         unregister_after = self._heartbeat_timeout * UNREGISTER_HEARTBEAT_TIMEOUTS
         if machine.lost and not machine.recorded and since_last_heartbeat > unregister_after:
             self._index.remove(machine.name)
+        return lease_has_expired
 
     def _lease_has_expired(self, machine: Machine, leadership_verified_until: float) -> bool:
         """Return whether a machine's lease has expired for every possible renewer.
--- a/tests/scheduling/test_running_task_cost.py
+++ b/tests/scheduling/test_running_task_cost.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 
 import msgspec
@@ -128,3 +129,35 @@
         assert few < many <= few * 4 * TOLERANCE
 
     trio.run(main, clock=trio.testing.MockClock())
+
+
+class PlacedTasks(trio.abc.Instrument):
+    """Counts the placed tasks of an allocation whenever a task of trio yields."""
+
+    def __init__(self, allocation: ShardAllocation) -> None:
+        self._allocation = allocation
+        self.counts = [len(allocation.placed)]
+
+    def after_task_step(self, task: trio.lowlevel.Task) -> None:
+        """Add the count after a step of any task."""
+        self.counts.append(len(self._allocation.placed))
+
+
+def test_leases_that_expire_together_are_handled_one_machine_a_step() -> None:
+    """Guards against `forgotten`: nothing was answered until all lost tasks were pending again."""
+
+    async def main() -> None:
+        running = 200
+        leader, allocation = await _run_tasks(running, running)
+        lease_s = leader.settings.deployment.workers.lease_s
+        await trio.sleep(lease_s * 2)
+        leader.replica.verified_at = trio.current_time()
+        placed = PlacedTasks(allocation)
+        trio.lowlevel.add_instrument(placed)
+        with trio.move_on_after(lease_s):
+            await leader.agents.lease_expiry.run()
+        assert placed.counts[-1] == 0
+        lost_in_a_step = max(a - b for a, b in itertools.pairwise(placed.counts))
+        assert lost_in_a_step <= running // MACHINES
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
