--- a/pitchtally/scheduling/rebalancing/task_migration.py
+++ b/pitchtally/scheduling/rebalancing/task_migration.py
@@ -8,12 +8,12 @@
 from msgspec import UNSET
 
 from ...jobs.job_record import TaskRange, ZoneCap, merge_ranges
+from ...jobs.pending_tasks import PendingRange
 from ...membership.membership import Membership
 from ...state_store import keys
 from ...state_store.errors import StoreUnavailable
 from ..range_writer import RangeWriter
 from ..shards.allocations import ShardAllocation
-from ..shards.pending_tasks import PendingRange
 from ..shards.shard_statuses import ShardStatuses
 
 log = logging.getLogger(__name__)
--- a/pitchtally/scheduling/shards/allocations.py
+++ b/pitchtally/scheduling/shards/allocations.py
@@ -13,12 +13,12 @@
 from ...agents.machine import Machine, MachineGroupKey, Placement
 from ...config.clock import LONG_AGO_S
 from ...jobs.index import Job
+from ...jobs.pending_tasks import PendingTasks
 from ...jobs.resources import Resources, resource_request
 from ...protocol import cloud_api, user_api
 from ..capacity import RANK
 from .failure_attribution import JobHealth
 from .lower_price_capacity import GroupCapacity, TaskCapacity
-from .pending_tasks import PendingTasks
 
 # Lower bound of a group's capacity for batch tasks. Without it, the queue of a group fully used
 # by services would have no finite length; with it, the queue is merely very long.
--- a/tests/scheduling/test_pending_tasks.py
+++ b/tests/jobs/test_pending_tasks.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 
-from pitchtally.scheduling.shards.pending_tasks import PendingTasks
+from pitchtally.jobs.pending_tasks import PendingTasks
 
 
 def test_pending_tasks_yield_each_task_once() -> None:
--- a/tests/scheduling/test_failover_cost.py
+++ b/tests/scheduling/test_failover_cost.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import itertools
 import time
-from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import msgspec
@@ -15,7 +13,6 @@
 from pitchtally.controller import Controller
 from pitchtally.jobs.job_record import OPEN, JobRecord, TaskRange, encode
 from pitchtally.protocol import agent_api
-from pitchtally.scheduling.shards.allocations import ShardAllocation
 from pitchtally.scheduling.shards.job_unblocking import JobUnblocking
 from pitchtally.state_store import keys
 
@@ -26,6 +23,7 @@
     job_spec,
     leader_of_shard,
 )
+from ..harness.step_observer import StepObserver
 
 TOKEN = 50
 SHARD = 0
@@ -43,21 +41,6 @@
     instructions: int
 
 
-class AdoptedTasks(trio.abc.Instrument):
-    """Counts the running tasks that a shard has adopted, whenever a task of trio yields."""
-
-    def __init__(self, allocations: Mapping[str, ShardAllocation]) -> None:
-        self._allocations = allocations
-        self.counts = [self._count()]
-
-    def after_task_step(self, task: trio.lowlevel.Task) -> None:
-        """Add the count after a step of any task."""
-        self.counts.append(self._count())
-
-    def _count(self) -> int:
-        return sum(len(allocation.placed) for allocation in self._allocations.values())
-
-
 def _listed(job: int, first: int, end: int) -> list[dict[str, Any]]:
     """Return a job's tasks from `first` to `end`, as an agent lists those that run."""
     return [
@@ -155,15 +138,17 @@
         jobs, running, machines = 60, 40, 2
         leader, _ = await _hear_from_machines(running, jobs=jobs, tasks=100, machines=machines)
         allocations = leader.scheduler.shards.states[SHARD].allocations
-        adopted = AdoptedTasks(allocations)
+        adopted = StepObserver(
+            lambda: sum(len(allocation.placed) for allocation in allocations.values()), start=0
+        )
         trio.lowlevel.add_instrument(adopted)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(leader.scheduler.shards.unblocking.run)
             while leader.scheduler.shards.unblocking.pending:
                 await trio.sleep(0)
             nursery.cancel_scope.cancel()
-        assert adopted.counts[-1] == jobs * running * machines
-        largest_step = max(b - a for a, b in itertools.pairwise([0, *adopted.counts]))
-        assert largest_step <= MAX_TASKS_WITHOUT_YIELD + running * machines
+        assert adopted.values[-1] == jobs * running * machines
+        # The first change includes what the last heartbeat adopted at once.
+        assert adopted.largest_change <= MAX_TASKS_WITHOUT_YIELD + running * machines
 
     trio.run(main, clock=trio.testing.MockClock())
--- a/tests/scheduling/test_preemption_cost.py
+++ b/tests/scheduling/test_preemption_cost.py
@@ -20,6 +20,7 @@
     job_spec,
     leader_of_shard,
 )
+from ..harness.step_observer import StepObserver
 
 TOKEN = 50
 SHARD = 0
@@ -70,30 +71,19 @@
     return sum(1 for placement in placements if placement.stop_grace is not None)
 
 
-class StepCounter(trio.abc.Instrument):
-    """Counts the steps of one task of trio: one more than its yields."""
-
-    def __init__(self, counted_task: trio.lowlevel.Task) -> None:
-        self._counted_task = counted_task
-        self.steps = 0
-
-    def after_task_step(self, task: trio.lowlevel.Task) -> None:
-        """Count a step of the task."""
-        self.steps += task is self._counted_task
-
-
 def test_preemption_for_many_jobs_yields() -> None:
     """Guards against `forgotten`: nothing was answered until victims for all jobs were found."""
 
     async def main() -> None:
         jobs = 8
         leader = await _full_shard(jobs)
-        counter = StepCounter(trio.lowlevel.current_task())
-        trio.lowlevel.add_instrument(counter)
+        stopped = StepObserver(lambda: _stopped(leader), start=0)
+        trio.lowlevel.add_instrument(stopped)
         await leader.scheduler.preemption.preempt(SHARD)
-        assert _stopped(leader) == jobs
+        await trio.sleep(0)  # ends the last step
+        assert stopped.values[-1] == jobs
         placements_of_a_job = MACHINES * RUNNING_PER_MACHINE
-        largest_step = MAX_PLACEMENTS_WITHOUT_YIELD + placements_of_a_job
-        assert counter.steps >= jobs * placements_of_a_job // largest_step
+        jobs_of_a_step = MAX_PLACEMENTS_WITHOUT_YIELD // placements_of_a_job + 1
+        assert stopped.largest_change <= jobs_of_a_step  # each job stops one task
 
     trio.run(main, clock=trio.testing.MockClock())
--- a/tests/scheduling/test_running_task_cost.py
+++ b/tests/scheduling/test_running_task_cost.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import time
 
 import msgspec
@@ -24,6 +23,7 @@
     job_spec,
     leader_of_shard,
 )
+from ..harness.step_observer import StepObserver
 
 TOKEN = 50
 SHARD = 0
@@ -131,18 +131,6 @@
     trio.run(main, clock=trio.testing.MockClock())
 
 
-class PlacedTasks(trio.abc.Instrument):
-    """Counts the placed tasks of an allocation whenever a task of trio yields."""
-
-    def __init__(self, allocation: ShardAllocation) -> None:
-        self._allocation = allocation
-        self.counts = [len(allocation.placed)]
-
-    def after_task_step(self, task: trio.lowlevel.Task) -> None:
-        """Add the count after a step of any task."""
-        self.counts.append(len(self._allocation.placed))
-
-
 def test_leases_that_expire_together_are_handled_one_machine_a_step() -> None:
     """Guards against `forgotten`: nothing was answered until all lost tasks were pending again."""
 
@@ -152,12 +140,11 @@
         lease_s = leader.settings.deployment.workers.lease_s
         await trio.sleep(lease_s * 2)
         leader.replica.verified_at = trio.current_time()
-        placed = PlacedTasks(allocation)
+        placed = StepObserver(lambda: len(allocation.placed), start=running)
         trio.lowlevel.add_instrument(placed)
         with trio.move_on_after(lease_s):
             await leader.agents.lease_expiry.run()
-        assert placed.counts[-1] == 0
-        lost_in_a_step = max(a - b for a, b in itertools.pairwise(placed.counts))
-        assert lost_in_a_step <= running // MACHINES
+        assert placed.values[-1] == 0
+        assert placed.largest_change <= running // MACHINES
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
