Take finished tasks from the bitmap by runs, in one place

Need: ProgressWriter and RangeReturn worked out the finished tasks of a job on their own, the latter task by task for the whole width of the job.

Change: both use Job.finished_tasks; RangeReturn reads TaskBitmap.runs.

Result: tests of jobs, formats, scheduling, gangs and reassignment pass.

--- a/pitchtally/jobs/progress_writer.py
+++ b/pitchtally/jobs/progress_writer.py
@@ -23,7 +23,6 @@
 from .job_record import DONE, JobRecord, encode
 from .layout import JobLayout
 from .migration import JobMigration
-from .task_bitmap import TaskBitmap
 
 log = logging.getLogger(__name__)
 
@@ -161,11 +160,7 @@
             final = JobRecord(DONE, job.record.tasks)
             # The job's other keys are obsolete after this write; `jobs.cleanup` removes them later.
             return [JobWrites(job, [Write(keys.job(job.id), encode(final))], is_last=True)]
-        joined = TaskBitmap(job.record.tasks)
-        joined.add_bytes(bytes(job.finished.data))
-        for task in job.unwritten_tasks:
-            joined.add(task)
-        changes = self.layout.progress_writes(job, joined)
+        changes = self.layout.progress_writes(job, job.finished_tasks())
         max_group_size = self.commits.max_writes
         groups = [changes[i : i + max_group_size] for i in range(0, len(changes), max_group_size)]
         return [JobWrites(job, group, is_last=group is groups[-1]) for group in groups]
--- a/pitchtally/jobs/task_bitmap.py
+++ b/pitchtally/jobs/task_bitmap.py
@@ -16,8 +16,8 @@
 _EQUAL_BYTES = {_NO_MEMBERS: re.compile(rb"\x00+"), _ALL_MEMBERS: re.compile(rb"\xff+")}
 
 
-class Gap(NamedTuple):
-    """Consecutive integers that are no members, from `first` up to, but not including, `end`."""
+class Span(NamedTuple):
+    """Consecutive integers, from `first` up to, but not including, `end`."""
 
     first: int
     end: int
@@ -43,7 +43,7 @@
         duplicate.count = self.count
         return duplicate
 
-    def gaps(self, first: int, end: int) -> Iterator[Gap]:
+    def gaps(self, first: int, end: int) -> Iterator[Span]:
         """Yield the gaps between members from `first` up to, but not including, `end`."""
         gap_first: int | None = None
         index = first
@@ -52,11 +52,21 @@
             if not is_member and gap_first is None:
                 gap_first = index
             elif is_member and gap_first is not None:
-                yield Gap(gap_first, index)
+                yield Span(gap_first, index)
                 gap_first = None
             index = self._run_end(index)
         if gap_first is not None:
-            yield Gap(gap_first, end)
+            yield Span(gap_first, end)
+
+    def runs(self, first: int, end: int) -> Iterator[Span]:
+        """Yield the runs of members from `first` up to, but not including, `end`."""
+        position = first
+        for gap in self.gaps(first, end):
+            if position < gap.first:
+                yield Span(position, gap.first)
+            position = gap.end
+        if position < end:
+            yield Span(position, end)
 
     def _run_end(self, index: int) -> int:
         """Return an integer above `index` up to which all are members, or none is."""
--- a/pitchtally/scheduling/gangs/range_return.py
+++ b/pitchtally/scheduling/gangs/range_return.py
@@ -117,13 +117,13 @@
         Returns None if the shard can't return them yet.
         """
         kept: list[tuple[int, int, int]] = []
+        finished_tasks = job.finished_tasks()
         for first, end, owner in job.record.ranges:
             if owner != shard:
                 kept.append((first, end, owner))
             else:
                 # Finished tasks stay with the shard that ran them.
-                finished = (task for task in range(first, end) if job.is_finished(task))
-                kept.extend((task, task + 1, shard) for task in finished)
+                kept.extend((*finished, shard) for finished in finished_tasks.runs(first, end))
         remaining = merge_ranges(kept)
         if len(remaining) <= MAX_RANGES_PER_JOB:
             return remaining
--- a/tests/jobs/test_task_bitmap.py
+++ b/tests/jobs/test_task_bitmap.py
@@ -22,7 +22,7 @@
     assert all((i in copy) == (i in chosen) for i in range(100))
 
 
-def test_gaps_are_the_integers_that_are_no_members() -> None:
+def test_gaps_and_runs_are_the_integers_that_are_no_members_and_members() -> None:
     bitmap = TaskBitmap(200)
     for member in [*range(3), *range(16, 40), *random.Random(5).sample(range(100, 200), 30)]:
         bitmap.add(member)
@@ -30,5 +30,7 @@
         absent = [index for index in range(first, end) if index not in bitmap]
         gaps = list(bitmap.gaps(first, end))
         assert [index for gap in gaps for index in range(*gap)] == absent
+        present = [index for index in range(first, end) if index in bitmap]
+        assert [index for run in bitmap.runs(first, end) for index in range(*run)] == present
         # Two gaps are never adjacent, so wide arrays stay few ranges.
         assert all(gap.end < following.first for gap, following in itertools.pairwise(gaps))
